--- a/src/coordination/base64.cpp
+++ b/src/base/base64.cpp
@@ -1,4 +1,4 @@
-#include "coordination/base64.h"
+#include "base/base64.h"
 
 #include <array>
 
--- a/src/coordination/state.cpp
+++ b/src/coordination/state.cpp
@@ -1,6 +1,6 @@
 #include "coordination/state.h"
 
-#include "coordination/base64.h"
+#include "base/base64.h"
 #include "coordination/codec.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/fleet/balancer.cpp
@@ -0,0 +1,213 @@
+#include "fleet/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // A pass of the engine writes several tokens and may read a piece of a prompt in between; a stop of several
+    // usual gaps is none of these.
+    constexpr double stillGaps = 5;
+    constexpr double shortestStillMs = 250;
+    constexpr double longestStillMs = 1200;
+    // Before the usual gap is known.
+    constexpr double firstStillMs = 600;
+    constexpr double gapGain = 0.1;
+    // Events of one pass arrive together; only what is further apart tells how long a pass takes.
+    constexpr double samePassMs = 8;
+
+    // A replica with a lost member never goes on by itself; its controller is told and takes it apart meanwhile.
+    constexpr Milliseconds avoidStalled { 1500 };
+    constexpr Milliseconds avoidFailed { 400 };
+    constexpr double mostFailures = 6;
+    constexpr double failureFade = 0.5; // A success halves what is held against a target.
+
+    // Bytes between zones cost, but a tenth of a target's load is worth more than the way.
+    constexpr double otherZoneLoad = 0.08;
+    constexpr size_t sampledTargets = 2; // Two random choices: the best of all would be every node's at once.
+
+}
+
+Balancer::Balancer(std::string zone)
+    : m_zone(std::move(zone))
+{
+}
+
+void Balancer::setTargets(std::vector<ServingTarget> targets)
+{
+    std::map<std::string, Target, std::less<>> next;
+    for (ServingTarget& what : targets) {
+        std::string id = what.hostId;
+        auto known = m_targets.find(id);
+        Target target = known == m_targets.end() ? Target {} : std::move(known->second);
+        target.what = std::move(what);
+        auto others = m_othersInFlight.find(id);
+        target.others = others == m_othersInFlight.end() ? 0 : others->second;
+        next.emplace(std::move(id), std::move(target));
+    }
+    // Requests still in flight at a target that left are counted until they end.
+    for (auto& [id, target] : m_targets) {
+        if (target.own > 0 && !next.contains(id)) {
+            target.what.capacity = 0;
+            next.emplace(id, std::move(target));
+        }
+    }
+    m_targets = std::move(next);
+}
+
+void Balancer::setOthersInFlight(std::map<std::string, uint32_t, std::less<>> inFlight)
+{
+    m_othersInFlight = std::move(inFlight);
+    for (auto& [id, target] : m_targets) {
+        auto others = m_othersInFlight.find(id);
+        target.others = others == m_othersInFlight.end() ? 0 : others->second;
+    }
+}
+
+double Balancer::expectedLoad(const Target& target) const
+{
+    double load = (target.own + target.others + 1.0) / target.what.capacity;
+    double zone = target.what.zone == m_zone ? 0 : otherZoneLoad;
+    return load + zone + target.failures;
+}
+
+bool Balancer::isUsable(const Target& target, const ChoiceRequest& request, MonotonicTime now) const
+{
+    bool serves = target.what.service == request.service && target.what.model == request.model;
+    bool hasRoom = target.own + target.others < target.what.capacity + request.queueLimit;
+    return serves && target.what.capacity > 0 && hasRoom && target.avoidUntil <= now
+        && std::ranges::find(request.avoid, target.what.hostId) == request.avoid.end();
+}
+
+std::string Balancer::choose(const ChoiceRequest& request, MonotonicTime now, Random& random)
+{
+    std::vector<const Target*> usable;
+    for (const auto& [id, target] : m_targets) {
+        if (isUsable(target, request, now))
+            usable.push_back(&target);
+    }
+    for (size_t i = 0; i < std::min(sampledTargets, usable.size()); ++i)
+        std::swap(usable[i], usable[i + random() % (usable.size() - i)]);
+    usable.resize(std::min(sampledTargets, usable.size()));
+    auto best = std::ranges::min_element(usable, {}, [&](const Target* target) { return expectedLoad(*target); });
+    return best == usable.end() ? std::string() : (*best)->what.hostId;
+}
+
+void Balancer::started(std::string_view hostId, MonotonicTime now)
+{
+    auto found = m_targets.find(hostId);
+    if (found == m_targets.end())
+        return;
+    ++found->second.own;
+    if (found->second.writing == 0)
+        found->second.lastArrival = now;
+}
+
+void Balancer::progressed(std::string_view hostId, MonotonicTime now)
+{
+    auto found = m_targets.find(hostId);
+    if (found == m_targets.end())
+        return;
+    Target& target = found->second;
+    double gap = std::chrono::duration<double, std::milli>(now - target.lastArrival).count();
+    if (target.writing > 0 && gap > samePassMs)
+        target.gapMs += gapGain * (gap - target.gapMs);
+    target.lastArrival = now;
+}
+
+void Balancer::writing(std::string_view hostId, int change)
+{
+    auto found = m_targets.find(hostId);
+    if (found != m_targets.end())
+        found->second.writing = std::max(0, found->second.writing + change);
+}
+
+void Balancer::ended(std::string_view hostId, SendEnd end, MonotonicTime now)
+{
+    auto found = m_targets.find(hostId);
+    if (found == m_targets.end())
+        return;
+    Target& target = found->second;
+    target.own -= std::min(1u, target.own);
+    switch (end) {
+    case SendEnd::Finished:
+        target.failures *= failureFade;
+        break;
+    case SendEnd::Failed:
+        target.failures = std::min(mostFailures, target.failures + 1);
+        target.avoidUntil = std::max(target.avoidUntil, now + avoidFailed * static_cast<int>(std::ceil(target.failures)));
+        break;
+    case SendEnd::Stalled:
+        target.avoidUntil = std::max(target.avoidUntil, now + avoidStalled);
+        break;
+    case SendEnd::NotTaken:
+    case SendEnd::Withdrawn:
+        break;
+    }
+}
+
+void Balancer::suspect(std::string_view hostId, MonotonicTime until)
+{
+    auto found = m_targets.find(hostId);
+    if (found != m_targets.end())
+        found->second.avoidUntil = std::max(found->second.avoidUntil, until);
+}
+
+bool Balancer::isSuspected(std::string_view hostId, MonotonicTime now) const
+{
+    auto found = m_targets.find(hostId);
+    return found != m_targets.end() && found->second.avoidUntil > now;
+}
+
+std::vector<std::string> Balancer::standingStill(MonotonicTime now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, target] : m_targets) {
+        if (target.writing == 0 || target.what.model.empty())
+            continue;
+        double limit = target.gapMs > 0 ? std::clamp(stillGaps * target.gapMs, shortestStillMs, longestStillMs) : firstStillMs;
+        // One stream alone may have lost its place to others; with two, both would have to.
+        if (target.writing == 1)
+            limit *= 2;
+        if (std::chrono::duration<double, std::milli>(now - target.lastArrival).count() > limit)
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::map<std::string, uint32_t, std::less<>> Balancer::inFlight() const
+{
+    std::map<std::string, uint32_t, std::less<>> result;
+    for (const auto& [id, target] : m_targets) {
+        if (target.own > 0)
+            result.emplace(id, target.own);
+    }
+    return result;
+}
+
+uint32_t Balancer::inFlightOf(std::string_view service, std::string_view model) const
+{
+    uint32_t total = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (target.what.service == service && target.what.model == model)
+            total += target.own + target.others;
+    }
+    return total;
+}
+
+Balancer::Room Balancer::room(std::string_view service, std::string_view model, MonotonicTime now) const
+{
+    Room room;
+    for (const auto& [id, target] : m_targets) {
+        bool counts = target.what.service == service && target.what.model == model && target.avoidUntil <= now;
+        if (!counts)
+            continue;
+        room.places += target.what.capacity;
+        room.taken += std::min(target.what.capacity, target.own + target.others);
+    }
+    return room;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/balancer.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Kumquatpick {
+
+// Where requests of a model, or of a plain service, may go: the head of an open replica, or a plain host.
+struct ServingTarget {
+    std::string hostId;
+    std::string service;
+    std::string model; // Empty for a plain service.
+    std::string zone;
+    uint32_t capacity = 1;
+    double pace = 1; // Time of one step against the service's usual one.
+};
+
+enum class SendEnd : uint8_t {
+    Finished,
+    NotTaken, // Refused as full, or never sent: says nothing of the target's health.
+    Withdrawn, // The caller left or its time was over.
+    Failed, // Broken off, or an answer that can't be used.
+    Stalled, // Nothing came although something was due.
+};
+
+struct ChoiceRequest {
+    std::string_view service;
+    std::string_view model;
+    std::span<const std::string> avoid; // Targets tried already.
+    uint32_t queueLimit = 0; // Requests that may wait at the target beyond its capacity.
+};
+
+// Spreads requests over the targets by what is in flight there, this node's own sends and what the other nodes told,
+// and keeps off targets that failed or stand still. Not thread-safe; time is handed in.
+class Balancer {
+public:
+    explicit Balancer(std::string zone);
+
+    // Replaces the targets; what is known of those that stay is kept.
+    void setTargets(std::vector<ServingTarget>);
+    // Requests that the other nodes have in flight, by host.
+    void setOthersInFlight(std::map<std::string, uint32_t, std::less<>>);
+
+    // The target's host, or empty if none has room.
+    std::string choose(const ChoiceRequest&, MonotonicTime now, Random&);
+    void started(std::string_view hostId, MonotonicTime now);
+    // An event of a stream arrived, or an answer's head.
+    void progressed(std::string_view hostId, MonotonicTime now);
+    void ended(std::string_view hostId, SendEnd, MonotonicTime now);
+    // Streams that are past their first event; only for these something is due soon.
+    void writing(std::string_view hostId, int change);
+
+    // Keeps off a target for a while: another node saw it stand still.
+    void suspect(std::string_view hostId, MonotonicTime until);
+    bool isSuspected(std::string_view hostId, MonotonicTime now) const;
+    // Targets whose streams all stand still for longer than they ever should.
+    std::vector<std::string> standingStill(MonotonicTime now) const;
+
+    // Own requests in flight, by host; for the other nodes.
+    std::map<std::string, uint32_t, std::less<>> inFlight() const;
+    // Over all nodes.
+    uint32_t inFlightOf(std::string_view service, std::string_view model) const;
+    // Free places and all places of the targets that may be chosen now.
+    struct Room {
+        uint32_t places = 0;
+        uint32_t taken = 0;
+    };
+    Room room(std::string_view service, std::string_view model, MonotonicTime now) const;
+
+private:
+    struct Target {
+        ServingTarget what;
+        uint32_t own = 0;
+        uint32_t others = 0;
+        int writing = 0;
+        double gapMs = 0; // Usual time between arrivals of anything from it while streams write; 0 until known.
+        double failures = 0; // Fades with successes.
+        MonotonicTime lastArrival {};
+        MonotonicTime avoidUntil {};
+    };
+
+    double expectedLoad(const Target&) const;
+    bool isUsable(const Target&, const ChoiceRequest&, MonotonicTime now) const;
+
+    std::string m_zone;
+    std::map<std::string, Target, std::less<>> m_targets;
+    std::map<std::string, uint32_t, std::less<>> m_othersInFlight;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/host.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Kumquatpick {
+
+// A host's part in a replica, as the host itself reports it.
+enum class MemberState : uint8_t {
+    Joining, // Loads the model.
+    Ready, // Has it; the head may be opened.
+    Open, // Of a head: takes requests.
+    Closing, // Of a head: finishes what it has.
+    Broken, // Of a head: a member is lost.
+};
+
+struct Membership {
+    std::string replica;
+    uint64_t epoch = 0;
+    uint32_t rank = 0; // 0 is the head, which takes the requests of the whole replica.
+    MemberState state = MemberState::Joining;
+
+    bool isOf(std::string_view otherReplica, uint64_t otherEpoch) const
+    {
+        return replica == otherReplica && epoch == otherEpoch;
+    }
+};
+
+// What changes while a host lives, from its list entry or from its own report.
+struct HostStatus {
+    uint64_t ordersAccepted = 0; // Grows; tells which of two statuses is newer.
+    std::string model; // Of its membership.
+    std::vector<std::string> stagedModels; // Copies on the host, loaded in the model's warmLoad.
+    std::optional<Membership> membership;
+    std::string domain; // Hosts of one domain form fast replicas.
+};
+
+// One life of a backend server. Its id never comes again; its address may, for another service.
+struct Host {
+    std::string id;
+    std::string service;
+    Address address;
+    std::string zone;
+    uint32_t capacity = 1;
+    bool draining = false;
+    HostStatus status;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/replicaplanner.cpp
@@ -0,0 +1,341 @@
+#include "fleet/replicaplanner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr uint64_t epochsPerLease = 1'000'000;
+
+    // An order is answered within a round trip; one that is not is sent again, as repeating it is harmless.
+    constexpr Milliseconds orderRepeat { 700 };
+    // A head that is silent may still serve, until its replica gives up for want of a member; on top of that time,
+    // for reports that are late.
+    constexpr Milliseconds silentHeadMargin { 500 };
+    // Loads share the weight store: one may take several times its own time.
+    constexpr int longestLoads = 4;
+    constexpr Milliseconds formationMargin { 10'000 };
+
+    // A replica is worth less the longer it takes to serve: at this load time half as much.
+    constexpr double halfValueLoadSeconds = 10;
+    // A smaller replica of another model is not formed from hosts that a model in greater need could soon use.
+    constexpr double leastRelativeValue = 0.5;
+    constexpr double loadBurst = 5;
+
+    bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
+
+    bool isStaged(const Host& host, std::string_view model)
+    {
+        return std::ranges::find(host.status.stagedModels, model) != host.status.stagedModels.end();
+    }
+
+    bool hasJoined(const Host& host, std::string_view replica, uint64_t epoch)
+    {
+        return host.status.membership && host.status.membership->isOf(replica, epoch);
+    }
+
+}
+
+const char* name(OrderKind kind)
+{
+    constexpr const char* names[] = { "join", "open", "close", "leave" };
+    return names[static_cast<size_t>(kind)];
+}
+
+const char* name(OrderResult result)
+{
+    constexpr const char* names[] = { "accepted", "holds", "unfit", "fenced", "gone", "lost" };
+    return names[static_cast<size_t>(result)];
+}
+
+ReplicaPlanner::ReplicaPlanner(uint64_t fencing, Milliseconds stall)
+    : m_nextEpoch((fencing + 1) * epochsPerLease)
+    , m_stall(stall)
+{
+}
+
+std::vector<HostOrder> ReplicaPlanner::plan(const PlannerInput& input)
+{
+    std::vector<HostOrder> orders;
+    m_awaited.clear();
+    for (Formation& formation : m_formations)
+        advanceFormation(input, formation, orders);
+    std::erase_if(m_formations, [](const Formation& formation) { return formation.failed; });
+
+    std::vector<ReplicaView> replicas = input.hosts.replicas();
+    std::erase_if(m_dissolutions, [&](const auto& entry) {
+        return std::ranges::none_of(
+            replicas, [&](const ReplicaView& view) { return ReplicaKey(view.name, view.epoch) == entry.first; });
+    });
+    for (const ReplicaView& replica : replicas) {
+        if (replica.service == input.service.name)
+            superviseReplica(input, replica, orders);
+    }
+    formReplicas(input, orders);
+    return orders;
+}
+
+bool ReplicaPlanner::isUsable(const PlannerInput& input, std::string_view hostId) const
+{
+    const Host* host = input.hosts.find(hostId);
+    if (!host || host->draining)
+        return false;
+    HostContact contact = input.contact(hostId);
+    return contact != HostContact::Silent && contact != HostContact::Ended;
+}
+
+void ReplicaPlanner::advanceFormation(const PlannerInput& input, Formation& formation, std::vector<HostOrder>& orders)
+{
+    const ModelSpec* model = input.service.model(formation.model);
+    bool isWhole = std::ranges::all_of(formation.members, [&](const auto& id) { return isUsable(input, id); });
+    bool isLate = !model || input.now - formation.begun > model->load * longestLoads + formationMargin;
+    if (!isWhole || isLate || formation.failed) {
+        abandon(formation, orders);
+        formation.failed = true;
+        return;
+    }
+    bool allReady = true;
+    for (const std::string& id : formation.members) {
+        m_awaited.insert(id);
+        const Host& host = *input.hosts.find(id);
+        allReady = allReady && hasJoined(host, formation.replica, formation.epoch)
+            && host.status.membership->state != MemberState::Joining;
+    }
+    if (!allReady)
+        return orderJoins(input, formation, orders);
+
+    const Host& head = *input.hosts.find(formation.members.front());
+    if (isTakingRequests(head.status.membership->state)) {
+        formation.failed = true; // Served its purpose: the replica is supervised from now on.
+        return;
+    }
+    if (formation.openSent && input.now - *formation.openSent < orderRepeat)
+        return;
+    formation.openSent = input.now;
+    orders.push_back({ OrderKind::Open, head.id, formation.replica, formation.epoch, {}, {} });
+}
+
+void ReplicaPlanner::orderJoins(const PlannerInput& input, Formation& formation, std::vector<HostOrder>& orders)
+{
+    for (const std::string& id : formation.members) {
+        if (hasJoined(*input.hosts.find(id), formation.replica, formation.epoch))
+            continue;
+        auto sent = formation.joinSent.find(id);
+        if (sent != formation.joinSent.end() && input.now - sent->second < orderRepeat)
+            continue;
+        formation.joinSent[id] = input.now;
+        orders.push_back(
+            { OrderKind::Join, id, formation.replica, formation.epoch, formation.model, formation.members });
+    }
+}
+
+// The head first: an open that is still on its way must find nothing to open.
+void ReplicaPlanner::abandon(const Formation& formation, std::vector<HostOrder>& orders)
+{
+    m_dissolutions[{ formation.replica, formation.epoch }].headId = formation.members.front();
+    for (const std::string& id : formation.members) {
+        if (formation.joinSent.contains(id))
+            orders.push_back({ OrderKind::Leave, id, formation.replica, formation.epoch, {}, {} });
+    }
+}
+
+void ReplicaPlanner::superviseReplica(
+    const PlannerInput& input, const ReplicaView& replica, std::vector<HostOrder>& orders)
+{
+    bool isForming = std::ranges::any_of(m_formations, [&](const Formation& formation) {
+        return formation.replica == replica.name && formation.epoch == replica.epoch;
+    });
+    if (isForming)
+        return;
+    if (m_dissolutions.contains({ replica.name, replica.epoch }) || !replica.head
+        || !isTakingRequests(replica.head->status.membership->state))
+        return dissolve(input, replica, orders);
+
+    const ModelSpec* model = input.service.model(replica.model);
+    bool isShort = model && replica.members.size() < model->hostsPerReplica;
+    bool isDoubted = isShort || input.standsStill(replica.head->id);
+    bool hasLost = isShort;
+    bool isLeaving = false;
+    for (const Host* member : replica.members) {
+        HostContact contact = input.contact(member->id);
+        if (isDoubted)
+            m_awaited.insert(member->id);
+        hasLost = hasLost || contact == HostContact::Ended || (isDoubted && contact == HostContact::Silent);
+        isLeaving = isLeaving || member->draining;
+    }
+    if (hasLost)
+        return dissolve(input, replica, orders);
+    if (isLeaving && replica.head->status.membership->state == MemberState::Open)
+        orders.push_back({ OrderKind::Close, replica.head->id, replica.name, replica.epoch, {}, {} });
+}
+
+void ReplicaPlanner::dissolve(const PlannerInput& input, const ReplicaView& replica, std::vector<HostOrder>& orders)
+{
+    Dissolution& dissolution = m_dissolutions[{ replica.name, replica.epoch }];
+    if (!replica.head) {
+        followMissingHead(input, dissolution);
+        if (!dissolution.headId.empty() && !dissolution.headIsOut)
+            m_awaited.insert(dissolution.headId);
+        return;
+    }
+    dissolution.headId = replica.head->id;
+    m_awaited.insert(replica.head->id);
+    if (input.contact(replica.head->id) == HostContact::Ended)
+        dissolution.headIsOut = true;
+    if (dissolution.leaveSent && input.now - *dissolution.leaveSent < orderRepeat)
+        return;
+    dissolution.leaveSent = input.now;
+    orders.push_back({ OrderKind::Leave, replica.head->id, replica.name, replica.epoch, {}, {} });
+}
+
+// No host says any more that it is the head: it left, joined another replica, or is off the list.
+void ReplicaPlanner::followMissingHead(const PlannerInput& input, Dissolution& dissolution) const
+{
+    const Host* head = input.hosts.find(dissolution.headId);
+    if (head || (!dissolution.headId.empty() && input.contact(dissolution.headId) == HostContact::Ended)) {
+        dissolution.headIsOut = true; // Listed, and not a member any more.
+        return;
+    }
+    if (!dissolution.headMissingSince)
+        dissolution.headMissingSince = input.now;
+    if (input.now - *dissolution.headMissingSince > m_stall + silentHeadMargin)
+        dissolution.headIsOut = true;
+}
+
+bool ReplicaPlanner::isFree(const PlannerInput& input, const Host& host) const
+{
+    if (host.service != input.service.name || !isUsable(input, host.id))
+        return false;
+    bool isTaken = std::ranges::any_of(m_formations,
+        [&](const Formation& formation) { return std::ranges::find(formation.members, host.id) != formation.members.end(); });
+    if (isTaken)
+        return false;
+    if (!host.status.membership)
+        return true;
+    auto dissolution = m_dissolutions.find({ host.status.membership->replica, host.status.membership->epoch });
+    return dissolution != m_dissolutions.end() && dissolution->second.headIsOut;
+}
+
+std::map<std::string, std::vector<const Host*>> ReplicaPlanner::freeHostsByDomain(const PlannerInput& input) const
+{
+    std::map<std::string, std::vector<const Host*>> result;
+    for (const auto& [id, host] : input.hosts.hosts()) {
+        if (isFree(input, host))
+            result[host.status.domain].push_back(&host);
+    }
+    return result;
+}
+
+std::map<std::string, uint32_t> ReplicaPlanner::replicasByModel(const PlannerInput& input) const
+{
+    std::map<std::string, uint32_t> result;
+    for (const Formation& formation : m_formations)
+        ++result[formation.model];
+    for (const ReplicaView& replica : input.hosts.replicas()) {
+        bool serves = replica.head && replica.head->status.membership->state == MemberState::Open
+            && !m_dissolutions.contains({ replica.name, replica.epoch });
+        bool isForming = std::ranges::any_of(
+            m_formations, [&](const Formation& formation) { return formation.epoch == replica.epoch; });
+        if (serves && !isForming)
+            ++result[replica.model];
+    }
+    return result;
+}
+
+bool ReplicaPlanner::takeLoads(const PlannerInput& input, size_t loads)
+{
+    if (input.loadsAreFree || loads == 0)
+        return true;
+    double elapsed = m_loadTokensAt ? toSeconds(input.now - *m_loadTokensAt) : loadBurst;
+    m_loadTokensAt = input.now;
+    m_loadTokens = std::min(loadBurst, m_loadTokens + elapsed * input.service.timing.loadsPerSecond);
+    if (m_loadTokens < static_cast<double>(std::min<size_t>(loads, static_cast<size_t>(loadBurst))))
+        return false;
+    m_loadTokens -= static_cast<double>(loads);
+    return true;
+}
+
+// Members with the model staged first: a replica loads as slowly as its slowest member.
+std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
+    const std::vector<const Host*>& freeHosts, double need) const
+{
+    if (freeHosts.size() < model.hostsPerReplica)
+        return std::nullopt;
+    Candidate candidate;
+    candidate.model = &model;
+    candidate.members = freeHosts;
+    std::ranges::stable_sort(candidate.members, [&](const Host* a, const Host* b) {
+        return isStaged(*a, model.name) > isStaged(*b, model.name);
+    });
+    candidate.members.resize(model.hostsPerReplica);
+    candidate.isWarm = isStaged(*candidate.members.back(), model.name);
+    double seconds = input.loadsAreFree ? 0 : toSeconds(candidate.isWarm ? model.warmLoad : model.load);
+    candidate.value = need / (1 + seconds / halfValueLoadSeconds);
+    return candidate;
+}
+
+std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::bestCandidate(
+    const PlannerInput& input, const std::map<std::string, uint32_t>& have) const
+{
+    std::optional<Candidate> best;
+    double greatestNeed = 0;
+    auto domains = freeHostsByDomain(input);
+    for (const ModelSpec& model : input.service.models) {
+        auto wanted = input.wanted.find(model.name);
+        auto present = have.find(model.name);
+        // How full the replicas would be with one more: what the next one is worth.
+        double need = wanted == input.wanted.end() ? 0 : wanted->second;
+        need /= 1 + (present == have.end() ? 0 : present->second);
+        greatestNeed = std::max(greatestNeed, need);
+        for (const auto& [domain, hosts] : domains) {
+            auto candidate = candidateIn(input, model, hosts, need);
+            if (candidate && (!best || candidate->value > best->value))
+                best = std::move(candidate);
+        }
+    }
+    if (best && best->value < leastRelativeValue * greatestNeed && !best->isWarm && best->model->hostsPerReplica < 3)
+        return best->value > 0.3 ? best : std::nullopt;
+    return best;
+}
+
+void ReplicaPlanner::formReplicas(const PlannerInput& input, std::vector<HostOrder>& orders)
+{
+    auto have = replicasByModel(input);
+    while (auto candidate = bestCandidate(input, have)) {
+        const ModelSpec& model = *candidate->model;
+        auto cold = std::ranges::count_if(
+            candidate->members, [&](const Host* host) { return !isStaged(*host, model.name); });
+        if (!takeLoads(input, static_cast<size_t>(cold)))
+            return;
+        Formation formation;
+        formation.epoch = m_nextEpoch++;
+        formation.replica = fmt::format("replica-{}", formation.epoch);
+        formation.model = model.name;
+        formation.begun = input.now;
+        for (const Host* host : candidate->members)
+            formation.members.push_back(host->id);
+        ++have[model.name];
+        m_formations.push_back(std::move(formation));
+        orderJoins(input, m_formations.back(), orders);
+        for (const std::string& id : m_formations.back().members)
+            m_awaited.insert(id);
+    }
+}
+
+void ReplicaPlanner::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime)
+{
+    if (order.kind == OrderKind::Join && (result == OrderResult::Unfit || result == OrderResult::Gone)) {
+        for (Formation& formation : m_formations)
+            formation.failed = formation.failed || formation.epoch == order.epoch;
+    }
+    bool hasLeft = result == OrderResult::Holds || result == OrderResult::Accepted || result == OrderResult::Gone;
+    if (order.kind != OrderKind::Leave || !hasLeft)
+        return;
+    auto found = m_dissolutions.find({ order.replica, order.epoch });
+    if (found != m_dissolutions.end() && found->second.headId == order.hostId)
+        found->second.headIsOut = true;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/replicaplanner.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "base/clock.h"
+#include "fleet/config.h"
+#include "fleet/hostorder.h"
+#include "fleet/hosttable.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Kumquatpick {
+
+// What direct calls to a host say of its life.
+enum class HostContact : uint8_t {
+    Unknown, // Not asked lately.
+    Answers,
+    Silent, // No answer: dead, frozen or cut off.
+    Ended, // The connection is refused, or another host has the address.
+};
+
+struct PlannerInput {
+    MonotonicTime now;
+    const HostTable& hosts;
+    const ServiceSpec& service;
+    // Replicas that the present traffic would fill, by model.
+    const std::map<std::string, double, std::less<>>& wanted;
+    std::function<HostContact(std::string_view hostId)> contact;
+    // Heads whose streams stand still, as nodes see it.
+    std::function<bool(std::string_view hostId)> standsStill;
+    bool loadsAreFree = false; // Before the first request.
+};
+
+// Forms, opens, closes and takes apart the replicas of one service: facts and time in, orders out. What it keeps is
+// only what it began itself; a successor rebuilds the rest from what the hosts report. Not thread-safe.
+//
+// A host joins another replica only once the head of its old one can't take requests any more, as a head does not
+// notice that its members are gone: the head is told to leave first, and the others wait for its word, for the end
+// of its life, or, where it is silent, for the time after which a head that stands still gives up by itself.
+class ReplicaPlanner {
+public:
+    // fencing: of the controller's lease; later controllers have higher ones, so their epochs are higher too.
+    // stall: after which a replica that lost a member gives up by itself.
+    ReplicaPlanner(uint64_t fencing, Milliseconds stall);
+
+    std::vector<HostOrder> plan(const PlannerInput&);
+    void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
+
+    // Hosts whose own reports the next decisions wait for.
+    std::set<std::string, std::less<>> awaited() const { return m_awaited; }
+    size_t formationsInProgress() const { return m_formations.size(); }
+
+private:
+    struct Formation {
+        std::string replica;
+        uint64_t epoch = 0;
+        std::string model;
+        std::vector<std::string> members;
+        MonotonicTime begun;
+        std::map<std::string, MonotonicTime, std::less<>> joinSent;
+        std::optional<MonotonicTime> openSent;
+        bool failed = false;
+    };
+    struct Dissolution {
+        std::string headId;
+        std::optional<MonotonicTime> leaveSent;
+        std::optional<MonotonicTime> headMissingSince;
+        bool headIsOut = false;
+    };
+    using ReplicaKey = std::pair<std::string, uint64_t>;
+    struct Candidate {
+        const ModelSpec* model = nullptr;
+        std::vector<const Host*> members;
+        bool isWarm = false;
+        double value = 0;
+    };
+
+    void advanceFormation(const PlannerInput&, Formation&, std::vector<HostOrder>&);
+    void orderJoins(const PlannerInput&, Formation&, std::vector<HostOrder>&);
+    void abandon(const Formation&, std::vector<HostOrder>&);
+    void superviseReplica(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
+    void dissolve(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
+    void followMissingHead(const PlannerInput&, Dissolution&) const;
+    void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
+    std::optional<Candidate> bestCandidate(const PlannerInput&, const std::map<std::string, uint32_t>& have) const;
+    std::optional<Candidate> candidateIn(
+        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, double need) const;
+    std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
+    bool isFree(const PlannerInput&, const Host&) const;
+    std::map<std::string, uint32_t> replicasByModel(const PlannerInput&) const;
+    bool takeLoads(const PlannerInput&, size_t loads);
+    bool isUsable(const PlannerInput&, std::string_view hostId) const;
+
+    uint64_t m_nextEpoch;
+    Milliseconds m_stall;
+    std::vector<Formation> m_formations;
+    std::map<ReplicaKey, Dissolution> m_dissolutions;
+    std::set<std::string, std::less<>> m_awaited;
+    double m_loadTokens = 0;
+    std::optional<MonotonicTime> m_loadTokensAt;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/retryallowance.cpp
@@ -0,0 +1,60 @@
+#include "fleet/retryallowance.h"
+
+#include <algorithm>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds bucketLength { 500 };
+    // Nodes know of each other's arrival and leaving a little late, and a node that comes back starts a window of its
+    // own; what is held back covers one such node in six.
+    constexpr double usableShare = 0.8;
+
+}
+
+RetryAllowance::RetryAllowance(RetryLimits limits)
+    : m_limits(limits)
+{
+}
+
+void RetryAllowance::setNodes(uint32_t liveNodes) { m_nodes = std::max(1u, liveNodes); }
+
+RetryAllowance::Window& RetryAllowance::windowOf(std::string_view service, MonotonicTime now)
+{
+    auto found = m_services.find(service);
+    if (found == m_services.end())
+        found = m_services.emplace(service, Window {}).first;
+    Window& window = found->second;
+    while (!window.empty() && now - window.front().begin > m_limits.window)
+        window.pop_front();
+    if (window.empty() || now - window.back().begin >= bucketLength)
+        window.push_back({ now });
+    return window;
+}
+
+void RetryAllowance::firstSend(std::string_view service, MonotonicTime now)
+{
+    ++windowOf(service, now).back().firstSends;
+}
+
+double RetryAllowance::left(std::string_view service, MonotonicTime now)
+{
+    double firstSends = 0;
+    double retries = 0;
+    for (const Bucket& bucket : windowOf(service, now)) {
+        firstSends += bucket.firstSends;
+        retries += bucket.retries;
+    }
+    return usableShare * (m_limits.ratio * firstSends + m_limits.allowance / m_nodes) - retries;
+}
+
+bool RetryAllowance::takeRetry(std::string_view service, MonotonicTime now)
+{
+    if (left(service, now) < 1)
+        return false;
+    ++windowOf(service, now).back().retries;
+    return true;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/callersession.cpp
@@ -0,0 +1,188 @@
+#include "gateway/callersession.h"
+
+#include "gateway/asio.h"
+#include "gateway/callforwarder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr size_t firstReadBytes = 4096;
+    // A request that began to arrive must be whole within this; the longest bodies take a part of a second.
+    constexpr Milliseconds bodyTimeout { 10'000 };
+    // Closing a connection with unread bytes would reset it, and the caller might lose the answer just sent.
+    constexpr Milliseconds lingerTime { 500 };
+    constexpr size_t lingerBytes = 256 * 1024;
+    // While a next request lies unread in a connection, its end shows only when looked for.
+    constexpr Milliseconds lookAgain { 50 };
+
+    bool hasPeerClosed(asio::ip::tcp::socket& socket)
+    {
+        pollfd entry { socket.native_handle(), POLLRDHUP, 0 };
+        return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
+    // Two readings of where a body ends would let one caller's bytes be taken for another request.
+    bool hasOneLength(const RequestHead& head)
+    {
+        auto [first, last] = head.equal_range(http::field::content_length);
+        auto lengths = std::distance(first, last);
+        bool isChunked = head.find(http::field::transfer_encoding) != head.end();
+        return lengths + (isChunked ? 1 : 0) <= 1;
+    }
+
+}
+
+CallerSession::CallerSession(GatewayContext& context, asio::ip::tcp::socket socket)
+    : m_context(context)
+    , m_stream(std::move(socket))
+{
+    beast::error_code ignored; // A connection that is gone already fails at its first use.
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+const CallerLimits& CallerSession::limits() const
+{
+    static const CallerLimits defaults;
+    return m_context.routes ? m_context.routes->config().limits : defaults;
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (!m_isIdle)
+        return;
+    beast::error_code ignored;
+    m_stream.socket().close(ignored);
+}
+
+asio::awaitable<void> CallerSession::run()
+{
+    bool keep = true;
+    while (keep && m_stream.socket().is_open() && co_await awaitFirstByte()) {
+        m_isIdle = false;
+        RequestParser parser;
+        parser.header_limit(limits().headerBytes);
+        parser.body_limit(limits().bodyBytes);
+        keep = co_await readRequest(parser) && co_await forward(parser);
+        m_isIdle = keep && m_buffer.size() == 0;
+    }
+    if (m_stream.socket().is_open())
+        co_await closeGently();
+}
+
+asio::awaitable<bool> CallerSession::awaitFirstByte()
+{
+    if (m_buffer.size() > 0)
+        co_return true;
+    m_stream.expires_after(limits().idleTimeout);
+    auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+    m_buffer.commit(count);
+    co_return !error && count > 0;
+}
+
+asio::awaitable<bool> CallerSession::readRequest(RequestParser& parser)
+{
+    m_stream.expires_after(limits().headerTimeout);
+    auto [headError, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
+    beast::error_code error = headError;
+    if (!error && !hasOneLength(parser.get())) {
+        co_await refuse(http::status::bad_request, "more than one length");
+        co_return false;
+    }
+    if (!error && parser.get()[http::field::expect] == "100-continue") {
+        constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_stream, asio::buffer(goOn), asTuple);
+    }
+    if (!error && !parser.is_done()) {
+        m_stream.expires_after(bodyTimeout);
+        auto [bodyError, bodyBytes] = co_await http::async_read(m_stream, m_buffer, parser, asTuple);
+        error = bodyError;
+    }
+    m_stream.expires_never();
+    if (!error)
+        co_return true;
+    if (error == http::error::header_limit)
+        co_await refuse(http::status::request_header_fields_too_large, "the head is too large");
+    else if (error == http::error::body_limit)
+        co_await refuse(http::status::payload_too_large, "the body is too large");
+    else if (error == beast::error::timeout)
+        co_await refuse(http::status::request_timeout, "the request did not arrive in time");
+    else if (error != http::error::end_of_stream && error != asio::error::connection_reset)
+        co_await refuse(http::status::bad_request, error.message());
+    co_return false;
+}
+
+asio::awaitable<bool> CallerSession::forward(RequestParser& parser)
+{
+    bool keepAlive = parser.keep_alive();
+    HttpRequest request = parser.release();
+    auto decoded = m_context.platform.call(request);
+    if (auto* error = std::get_if<Error>(&decoded)) {
+        co_await refuse(http::status::bad_request, error->detail);
+        co_return false;
+    }
+    Call call = std::move(std::get<Call>(decoded));
+    call.body = std::move(request.body());
+
+    CallForwarder forwarder(m_context, m_stream, std::move(call), keepAlive);
+    asio::co_spawn(m_stream.get_executor(), watchCaller(forwarder.active()),
+        [self = shared_from_this()](const std::exception_ptr&) {});
+    bool keep = co_await forwarder.run();
+    forwarder.active()->isDone = true;
+    beast::error_code ignored; // Ends the watch; the connection may be closed by now.
+    m_stream.socket().cancel(ignored);
+    co_return keep;
+}
+
+// A caller that closes its connection wants no answer any more: the work for it ends at the backend server too.
+asio::awaitable<void> CallerSession::watchCaller(std::shared_ptr<ActiveCall> call)
+{
+    while (!call->isDone) {
+        auto [error] = co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, asTuple);
+        if (error || call->isDone)
+            co_return;
+        if (hasPeerClosed(m_stream.socket())) {
+            call->cut(CallEnd::CallerLeft);
+            co_return;
+        }
+        co_await pause(lookAgain);
+    }
+}
+
+asio::awaitable<void> CallerSession::refuse(http::status status, std::string_view reason)
+{
+    m_context.log.write("bad_request", { { "status", static_cast<unsigned>(status) }, { "reason", reason } });
+    HttpResponse response(status, 11);
+    response.keep_alive(false);
+    response.set(http::field::content_type, "application/json");
+    response.body() = nlohmann::json { { "error", reason } }.dump();
+    response.prepare_payload();
+    m_stream.expires_after(lingerTime);
+    co_await http::async_write(m_stream, response, asTuple);
+}
+
+asio::awaitable<void> CallerSession::closeGently()
+{
+    beast::error_code ignored; // Whatever fails here, the connection ends below.
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(lingerTime);
+    size_t dropped = 0;
+    std::array<char, firstReadBytes> bytes {};
+    while (dropped < lingerBytes) {
+        auto [error, count] = co_await m_stream.async_read_some(asio::buffer(bytes), asTuple);
+        if (error || count == 0)
+            break;
+        dropped += count;
+    }
+    m_stream.socket().close(ignored);
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/callersession.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "gateway/context.h"
+#include "gateway/http.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <optional>
+
+namespace Kumquatpick {
+
+// One caller's connection: reads requests within the configured limits and has each forwarded in turn.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+    CallerSession(GatewayContext&, asio::ip::tcp::socket);
+
+    asio::awaitable<void> run();
+    // Closes it if nothing of a request was read: a caller may then safely repeat what it was about to send.
+    void closeIfIdle();
+
+private:
+    using RequestParser = http::request_parser<http::string_body>;
+
+    asio::awaitable<bool> awaitFirstByte();
+    asio::awaitable<bool> readRequest(RequestParser&);
+    asio::awaitable<bool> forward(RequestParser&);
+    asio::awaitable<void> watchCaller(std::shared_ptr<ActiveCall>);
+    asio::awaitable<void> refuse(http::status, std::string_view reason);
+    asio::awaitable<void> closeGently();
+    const CallerLimits& limits() const;
+
+    GatewayContext& m_context;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_isIdle = true;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/connectionpool.cpp
@@ -0,0 +1,121 @@
+#include "gateway/connectionpool.h"
+
+#include "gateway/asio.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // A host that is up accepts within a round trip; a lost packet is repeated by the kernel after a second only.
+    constexpr Milliseconds connectTimeout { 400 };
+    // Below the idle timeouts that backend servers usually announce.
+    constexpr Milliseconds longestKept { 4000 };
+    constexpr size_t idlePerPeer = 24;
+    constexpr Milliseconds controlIdle { 3000 };
+
+    // Nothing may lie in an idle connection: an end, or bytes that belong to no request.
+    bool isQuiet(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    Error unreachable(const Address& peer, const beast::error_code& error)
+    {
+        return { ErrorCode::Unreachable, Step::Dispatch, peer.toString(), error.message() };
+    }
+
+}
+
+ConnectionPool::ConnectionPool(asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+std::unique_ptr<PeerConnection> ConnectionPool::takeIdle(const Address& peer, Milliseconds longestIdle)
+{
+    auto found = m_idle.find(peer);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    MonotonicTime now = monotonicNow();
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back()); // The one used last is the least likely to be closed.
+        idle.pop_back();
+        if (now - connection->idleSince <= longestIdle && isQuiet(connection->stream.socket()))
+            return connection;
+    }
+    return nullptr;
+}
+
+asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> ConnectionPool::acquire(Address peer, Milliseconds longestIdle)
+{
+    if (auto kept = takeIdle(peer, longestIdle))
+        co_return std::move(kept);
+    auto connection = std::make_unique<PeerConnection>(m_executor);
+    connection->peer = peer;
+    beast::error_code problem;
+    auto ip = asio::ip::make_address(peer.ip, problem);
+    if (problem)
+        co_return unreachable(peer, problem);
+    ++m_opened;
+    connection->stream.expires_after(connectTimeout);
+    auto [error] = co_await connection->stream.async_connect(asio::ip::tcp::endpoint(ip, peer.port), asTuple);
+    if (error)
+        co_return unreachable(peer, error);
+    connection->stream.expires_never();
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), problem);
+    co_return std::move(connection);
+}
+
+void ConnectionPool::release(std::unique_ptr<PeerConnection> connection)
+{
+    if (connection->buffer.size() > 0 || !connection->stream.socket().is_open())
+        return;
+    connection->stream.expires_never();
+    connection->idleSince = monotonicNow();
+    connection->wasUsed = true;
+    auto& idle = m_idle[connection->peer];
+    if (idle.size() < idlePerPeer)
+        idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::closeIdle(MonotonicTime now)
+{
+    for (auto& [peer, idle] : m_idle)
+        std::erase_if(idle, [&](const auto& connection) { return now - connection->idleSince > longestKept; });
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+asio::awaitable<Settled<HttpResponse>> ConnectionPool::exchange(
+    Address peer, HttpRequest request, Milliseconds timeout, Step step)
+{
+    auto acquired = co_await acquire(peer, controlIdle);
+    if (auto* error = std::get_if<Error>(&acquired))
+        co_return *error;
+    auto connection = std::move(std::get<0>(acquired));
+    request.set(http::field::host, peer.toString());
+    connection->stream.expires_after(timeout);
+    auto [writeError, written] = co_await http::async_write(connection->stream, request, asTuple);
+    if (writeError)
+        co_return Error { ErrorCode::BrokenOff, step, peer.toString(), writeError.message() };
+    http::response_parser<http::string_body> parser;
+    constexpr uint64_t largestAnswer = 64 << 20;
+    parser.body_limit(largestAnswer);
+    auto [readError, read] = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
+    if (readError) {
+        auto code = readError == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::BrokenOff;
+        co_return Error { code, step, peer.toString(), readError.message() };
+    }
+    HttpResponse response = parser.release();
+    if (response.keep_alive())
+        release(std::move(connection));
+    co_return response;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/context.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "fleet/balancer.h"
+#include "fleet/hosttable.h"
+#include "fleet/retryallowance.h"
+#include "fleet/routetable.h"
+#include "gateway/activecall.h"
+#include "gateway/connectionpool.h"
+#include "gateway/eventlog.h"
+#include "gateway/platform.h"
+#include "gateway/settings.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Kumquatpick {
+
+// Calls of a model that found no place, for estimating how many replicas would be filled.
+struct ModelDemand {
+    uint32_t refusedSinceTick = 0;
+    double waiting = 0; // Places that the refused calls would have held; smoothed.
+};
+
+// What the parts of a node share. All of it is used from one event loop, so nothing here has a lock: a host gives its
+// node a quarter of one core, and a loop spends less of it than threads that hand requests to each other.
+struct GatewayContext {
+    GatewayContext(asio::io_context& ioContext, const GatewaySettings& s, const Platform& p)
+        : io(ioContext)
+        , settings(s)
+        , platform(p)
+        , pool(ioContext.get_executor())
+        , balancer(s.zone)
+        , retries(s.retryLimits())
+        , log(ioContext, 1, s.name)
+        , random(seededFromSystem())
+    {
+    }
+
+    asio::io_context& io;
+    const GatewaySettings& settings;
+    const Platform& platform;
+    std::shared_ptr<const RouteTable> routes; // nullptr until a configuration is known.
+    std::string configText; // As the store has it; handed to nodes that the store turns away.
+    HostTable hosts;
+    ConnectionPool pool;
+    Balancer balancer;
+    RetryAllowance retries;
+    Metrics metrics;
+    EventLog log;
+    Random random;
+    std::set<std::shared_ptr<ActiveCall>> calls;
+    std::map<std::string, ModelDemand, std::less<>> demand; // By model.
+    bool anyCallSeen = false;
+    bool isStopping = false;
+    bool hostsListed = false; // The list of backend servers was read once.
+
+    MonotonicTime now() const { return monotonicNow(); }
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/controllerloop.cpp
@@ -0,0 +1,225 @@
+#include "gateway/controllerloop.h"
+
+#include "gateway/asio.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 100 };
+    // Hosts answer these without a slot, within a round trip.
+    constexpr Milliseconds statusTimeout { 250 };
+    constexpr Milliseconds orderTimeout { 600 };
+    constexpr Milliseconds askPeriod { 180 };
+    constexpr Milliseconds askSilentPeriod { 400 };
+    constexpr int failuresOfSilence = 2;
+    constexpr Milliseconds contactLasts { 2000 };
+    // Long enough for each peer to hear of a status in some round.
+    constexpr Milliseconds tellStatusFor { 1500 };
+
+    // Demand follows traffic within a few seconds; what operators expect counts until it is known.
+    constexpr double demandGain = 0.04; // Each tick.
+    constexpr Milliseconds demandUnknownFor { 4000 };
+    // Replicas answer in time while this share of their places is taken.
+    constexpr double wantedUse = 0.6;
+
+}
+
+ControllerLoop::ControllerLoop(GatewayContext& context, ControllerLease& lease, Peers& peers)
+    : m_context(context)
+    , m_lease(lease)
+    , m_peers(peers)
+{
+}
+
+asio::awaitable<void> ControllerLoop::run()
+{
+    for (;;) {
+        co_await pause(tickPeriod);
+        auto fencing = m_lease.fencing();
+        if (fencing && m_context.routes && m_context.hostsListed && !m_context.isStopping)
+            tick(*fencing);
+    }
+}
+
+void ControllerLoop::tick(uint64_t fencing)
+{
+    if (fencing != m_fencing) {
+        m_planners.clear();
+        m_contacts.clear();
+        m_fencing = fencing;
+    }
+    std::set<std::string, std::less<>> awaited;
+    for (const ServiceSpec& service : m_context.routes->config().services) {
+        if (!service.servesModels())
+            continue;
+        updateDemand(service);
+        planService(service, fencing);
+        awaited.merge(m_planners.at(service.name)->awaited());
+    }
+    askAwaited(awaited);
+}
+
+void ControllerLoop::planService(const ServiceSpec& service, uint64_t fencing)
+{
+    auto& planner = m_planners[service.name];
+    if (!planner)
+        planner = std::make_unique<ReplicaPlanner>(fencing, m_context.settings.replicaStall);
+    auto wanted = wantedReplicas(service);
+    bool anyCallSeen = m_context.anyCallSeen;
+    m_peers.forEachAlive([&](const PeerDigest& digest) { anyCallSeen = anyCallSeen || digest.anyCallSeen; });
+    PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
+        [this](std::string_view id) { return contact(id); }, [this](std::string_view id) { return standsStill(id); },
+        !anyCallSeen };
+    for (HostOrder& order : planner->plan(input)) {
+        if (const Host* host = m_context.hosts.find(order.hostId))
+            asio::co_spawn(m_context.io, send(std::move(order), host->address, service.name, fencing), asio::detached);
+    }
+}
+
+// Places that calls hold or would hold, by model, over all nodes.
+void ControllerLoop::updateDemand(const ServiceSpec& service)
+{
+    for (const ModelSpec& model : service.models) {
+        double places = m_context.balancer.inFlightOf(service.name, model.name);
+        places += m_context.demand[model.name].waiting;
+        m_peers.forEachAlive([&](const PeerDigest& digest) {
+            auto waiting = digest.waiting.find(model.name);
+            places += waiting == digest.waiting.end() ? 0 : waiting->second;
+        });
+        double& smoothed = m_inFlight[model.name];
+        smoothed += demandGain * (places - smoothed);
+    }
+}
+
+std::map<std::string, double, std::less<>> ControllerLoop::wantedReplicas(const ServiceSpec& service) const
+{
+    std::map<std::string, double, std::less<>> wanted;
+    double places = 0;
+    for (const ModelSpec& model : service.models)
+        places += m_inFlight.at(model.name);
+    bool isKnown = places >= service.capacity;
+    double hostsPerUnit = 0;
+    for (const ModelSpec& model : service.models)
+        hostsPerUnit += model.hostsPerReplica * model.workShare * model.pace;
+    auto hosts = static_cast<double>(std::ranges::count_if(
+        m_context.hosts.hosts(), [&](const auto& entry) { return entry.second.service == service.name; }));
+    for (const ModelSpec& model : service.models) {
+        double expected = hostsPerUnit > 0 ? hosts * model.workShare * model.pace / hostsPerUnit : 1;
+        double measured = 0.5 + m_inFlight.at(model.name) / (std::max(1u, service.capacity) * wantedUse);
+        wanted[model.name] = isKnown ? measured : expected;
+    }
+    return wanted;
+}
+
+bool ControllerLoop::standsStill(std::string_view hostId) const
+{
+    bool result = m_context.balancer.isSuspected(hostId, m_context.now());
+    m_peers.forEachAlive([&](const PeerDigest& digest) {
+        result = result || std::ranges::find(digest.standingStill, hostId) != digest.standingStill.end();
+    });
+    return result;
+}
+
+HostContact ControllerLoop::contact(std::string_view hostId) const
+{
+    auto found = m_contacts.find(hostId);
+    if (found == m_contacts.end())
+        return HostContact::Unknown;
+    const Contact& contact = found->second;
+    if (contact.hasEnded)
+        return HostContact::Ended;
+    if (contact.failures >= failuresOfSilence)
+        return HostContact::Silent;
+    bool isFresh = m_context.now() - contact.answeredAt < contactLasts;
+    return isFresh && contact.failures == 0 ? HostContact::Answers : HostContact::Unknown;
+}
+
+void ControllerLoop::askAwaited(const std::set<std::string, std::less<>>& awaited)
+{
+    MonotonicTime now = m_context.now();
+    std::erase_if(m_contacts, [&](const auto& entry) {
+        return !entry.second.isBusy && !m_context.hosts.find(entry.first) && now - entry.second.askedAt > std::chrono::seconds(30);
+    });
+    auto ask = [&](const Host& host, Milliseconds period) {
+        Contact& contact = m_contacts[host.id];
+        if (contact.isBusy || now - contact.askedAt < period)
+            return;
+        contact.isBusy = true;
+        contact.askedAt = now;
+        asio::co_spawn(m_context.io, askStatus(host.id, host.address), asio::detached);
+    };
+    for (const std::string& id : awaited) {
+        if (const Host* host = m_context.hosts.find(id))
+            ask(*host, askPeriod);
+    }
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        auto contact = m_contacts.find(id);
+        if (contact != m_contacts.end() && contact->second.failures > 0)
+            ask(host, askSilentPeriod);
+    }
+}
+
+asio::awaitable<void> ControllerLoop::askStatus(std::string hostId, Address address)
+{
+    m_context.metrics.count("host_status_calls_total");
+    auto answer = co_await m_context.pool.exchange(
+        address, m_context.platform.askStatus(hostId), statusTimeout, Step::Probe);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto status = response ? m_context.platform.status(*response) : Settled<HostStatus>(std::get<Error>(answer));
+    Contact& contact = m_contacts[hostId];
+    contact.isBusy = false;
+    if (auto* error = std::get_if<Error>(&status)) {
+        // A refused connection comes from a host whose process is gone; one that only times out says less.
+        bool isRefused = error->code == ErrorCode::Unreachable && error->detail.find("refused") != std::string::npos;
+        contact.hasEnded = contact.hasEnded || isRefused || error->code == ErrorCode::NotFound;
+        if (++contact.failures <= failuresOfSilence)
+            m_context.log.write("host_silent", { { "host", hostId }, { "failures", contact.failures },
+                { "ended", contact.hasEnded }, { "problem", describe(*error) } });
+        co_return;
+    }
+    contact.failures = 0;
+    contact.answeredAt = m_context.now();
+    m_statusReadAt[hostId] = contact.answeredAt;
+    m_context.hosts.reported(hostId, std::move(std::get<HostStatus>(status)));
+}
+
+asio::awaitable<void> ControllerLoop::send(HostOrder order, Address address, std::string service, uint64_t fencing)
+{
+    m_context.metrics.count("orders_total");
+    auto answer = co_await m_context.pool.exchange(
+        address, m_context.platform.order(order, fencing), orderTimeout, Step::Order);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    OrderResult result = response ? m_context.platform.orderResult(*response) : OrderResult::Lost;
+    nlohmann::json fields { { "order", name(order.kind) }, { "host", order.hostId }, { "replica", order.replica },
+        { "epoch", order.epoch }, { "model", order.model }, { "fencing", fencing }, { "result", name(result) } };
+    if (!response)
+        fields["problem"] = describe(std::get<Error>(answer));
+    else if (response->result_int() >= 400)
+        fields["problem"] = response->body().substr(0, 200);
+    m_context.log.write("order", std::move(fields));
+    if (result == OrderResult::Fenced)
+        m_lease.fencedOff(fencing);
+    auto planner = m_planners.find(service);
+    if (fencing == m_fencing && planner != m_planners.end())
+        planner->second->orderEnded(order, result, m_context.now());
+}
+
+std::vector<ReportedStatus> ControllerLoop::recentStatuses() const
+{
+    std::vector<ReportedStatus> result;
+    MonotonicTime now = m_context.now();
+    for (const auto& [id, readAt] : m_statusReadAt) {
+        const Host* host = m_context.hosts.find(id);
+        if (host && now - readAt < tellStatusFor)
+            result.push_back({ id, host->status });
+    }
+    return result;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/controllerloop.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "fleet/replicaplanner.h"
+#include "gateway/context.h"
+#include "gateway/lease.h"
+#include "gateway/peers.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Kumquatpick {
+
+// Carries out the replica planner's decisions while this node holds the controller's lease: asks hosts for their
+// status, sends orders, and tells the other nodes what it read.
+class ControllerLoop {
+public:
+    ControllerLoop(GatewayContext&, ControllerLease&, Peers&);
+
+    asio::awaitable<void> run();
+    // Statuses read lately, for digests.
+    std::vector<ReportedStatus> recentStatuses() const;
+
+private:
+    struct Contact {
+        MonotonicTime askedAt {};
+        MonotonicTime answeredAt {};
+        int failures = 0; // In a row.
+        bool hasEnded = false;
+        bool isBusy = false;
+    };
+
+    void tick(uint64_t fencing);
+    void planService(const ServiceSpec&, uint64_t fencing);
+    void updateDemand(const ServiceSpec&);
+    std::map<std::string, double, std::less<>> wantedReplicas(const ServiceSpec&) const;
+    bool standsStill(std::string_view hostId) const;
+    HostContact contact(std::string_view hostId) const;
+    void askAwaited(const std::set<std::string, std::less<>>& awaited);
+    asio::awaitable<void> askStatus(std::string hostId, Address);
+    asio::awaitable<void> send(HostOrder, Address, std::string service, uint64_t fencing);
+
+    GatewayContext& m_context;
+    ControllerLease& m_lease;
+    Peers& m_peers;
+    uint64_t m_fencing = 0; // Of the planners.
+    std::map<std::string, std::unique_ptr<ReplicaPlanner>> m_planners; // By service.
+    std::map<std::string, Contact, std::less<>> m_contacts;
+    std::map<std::string, MonotonicTime, std::less<>> m_statusReadAt;
+    std::map<std::string, double, std::less<>> m_inFlight; // By model, smoothed.
+    MonotonicTime m_firstCallAt {};
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/eventlog.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+
+namespace Kumquatpick {
+
+// Structured logs on standard output: one JSON object a line. Lines wait in a bounded buffer and are written when the
+// reader takes them; what does not fit is dropped and counted, and the count is the next line that fits. Never blocks.
+class EventLog {
+public:
+    EventLog(boost::asio::io_context&, int descriptor, std::string node);
+
+    // A decision or a change of belief. Fields hold its inputs and outcome.
+    void write(std::string_view event, nlohmann::json fields);
+    // The same for what happens with every request: beyond a fixed number of lines a second it is thinned.
+    void writeRoutine(std::string_view event, nlohmann::json fields);
+
+    uint64_t dropped() const { return m_droppedTotal; }
+    // Writes what is buffered, as far as the reader takes it at once.
+    void flush();
+
+private:
+    void append(std::string line);
+    void startWriting();
+
+    boost::asio::posix::stream_descriptor m_output;
+    bool m_isWatched = false;
+    std::string m_node;
+    std::string m_waiting;
+    std::string m_beingWritten;
+    uint64_t m_droppedSinceLine = 0;
+    uint64_t m_droppedTotal = 0;
+    MonotonicTime m_second {};
+    uint32_t m_routineLines = 0;
+    uint64_t m_thinned = 0;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,333 @@
+#include "gateway/gateway.h"
+
+#include "gateway/asio.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // A configuration is rare and must be in force everywhere within two seconds: a read waits at the store for it.
+    constexpr LogFollower::Pace configPace { Milliseconds(1500), Milliseconds(0) };
+    // Hosts write all the time; one read takes what came in this pause. A leaving host may get work for two seconds.
+    constexpr LogFollower::Pace hostPace { Milliseconds(1000), Milliseconds(400) };
+
+    constexpr Milliseconds keepUpPeriod { 50 };
+    constexpr int slowTicks = 20; // Of that period, for what is done once a second.
+    constexpr Milliseconds tellStandingStillFor { 700 };
+    constexpr Milliseconds avoidOnHearsay { 800 };
+    // A refused call would have held its place for about as long as a usual answer takes.
+    constexpr double secondsPerRefused = 1.5;
+    constexpr double waitingGain = 0.05; // Each tick.
+
+    // Callers use an old answer about nodes for up to three times its lifetime; connections that they hold then have
+    // gone over to other nodes.
+    constexpr int staleAnswerLifetimes = 3;
+    constexpr Milliseconds stopMargin { 500 };
+
+    void logConfig(GatewayContext& context, std::string_view source)
+    {
+        context.log.write("config_adopted", { { "version", context.routes->version() }, { "source", source },
+            { "routes", context.routes->config().routes.size() }, { "teams", context.routes->config().teams.size() } });
+    }
+
+}
+
+Gateway::Gateway(asio::io_context& io, const GatewaySettings& settings, const Platform& platform)
+    : m_context(io, settings, platform)
+    , m_health(m_context)
+    , m_peers(
+          m_context, [this](PeerDigest& digest) { fillDigest(digest); },
+          [this](const PeerDigest& digest) { takeDigest(digest); })
+    , m_lease(m_context, m_health)
+    , m_controller(m_context, m_lease, m_peers)
+    , m_configFollower(m_context, m_health, LogName::OperatorsConfig, configPace, configHandlers())
+    , m_hostFollower(m_context, m_health, LogName::BackendServers, hostPace, hostHandlers())
+    , m_callers(io, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
+    , m_readiness(io, [this](const HttpRequest& request) { return answerReadiness(request); })
+    , m_entries(io, [this](const HttpRequest& request) { return answerEntries(request); })
+    , m_peerServer(io, [this](const HttpRequest& request) { return m_peers.answer(request); })
+{
+}
+
+Settled<std::monostate> Gateway::start()
+{
+    const GatewaySettings& settings = m_context.settings;
+    for (const Settled<uint16_t>& port : { m_callers.start(settings.callers), m_readiness.start(settings.readiness),
+             m_entries.start(settings.entries), m_peerServer.start(settings.peers) }) {
+        if (auto* error = std::get_if<Error>(&port))
+            return *error;
+    }
+    m_context.log.write("started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
+    asio::co_spawn(m_context.io, m_configFollower.run(), asio::detached);
+    asio::co_spawn(m_context.io, m_hostFollower.run(), asio::detached);
+    asio::co_spawn(m_context.io, m_lease.follow(), asio::detached);
+    asio::co_spawn(m_context.io, m_lease.run(), asio::detached);
+    asio::co_spawn(m_context.io, m_controller.run(), asio::detached);
+    asio::co_spawn(m_context.io, m_peers.run(), asio::detached);
+    asio::co_spawn(m_context.io, keepUp(), asio::detached);
+    return std::monostate {};
+}
+
+void Gateway::acceptCaller(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<CallerSession>(m_context, std::move(socket));
+    m_sessions.push_back(session);
+    asio::co_spawn(m_context.io, session->run(), [session](const std::exception_ptr&) {});
+}
+
+bool Gateway::isReady() const { return m_context.routes && m_context.hostsListed && !m_context.isStopping; }
+
+HttpResponse Gateway::answerReadiness(const HttpRequest& request) const
+{
+    std::string_view target = toView(request.target());
+    HttpResponse response(http::status::not_found, 11);
+    if (m_context.platform.isReadinessQuestion(target))
+        response.result(isReady() ? http::status::ok : http::status::service_unavailable);
+    if (target == "/metrics") {
+        response.result(http::status::ok);
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        response.body() = m_context.metrics.prometheusText();
+    }
+    return response;
+}
+
+HttpResponse Gateway::answerEntries(const HttpRequest& request)
+{
+    HttpResponse response(http::status::not_found, 11);
+    auto question = m_context.platform.entriesQuestion(toView(request.target()));
+    if (!question)
+        return response;
+    std::vector<std::string> addresses = m_peers.callerAddresses({});
+    if (isReady())
+        addresses.push_back(m_context.settings.callers.toString());
+    std::ranges::shuffle(addresses, m_context.random);
+    if (addresses.empty()) {
+        response.result(http::status::service_unavailable);
+        return response;
+    }
+    response.result(http::status::ok);
+    response.set(http::field::content_type, "application/json");
+    response.body() = m_context.platform.entriesAnswer(addresses, m_context.settings.entriesLifetime);
+    return response;
+}
+
+void Gateway::adoptConfig(std::string_view text, std::string_view source)
+{
+    auto config = m_context.platform.config(text);
+    if (auto* error = std::get_if<Error>(&config)) {
+        m_context.log.write("config_unreadable", { { "problem", describe(*error) }, { "source", source } });
+        return;
+    }
+    auto& read = std::get<FleetConfig>(config);
+    if (m_context.routes && read.version <= m_context.routes->version())
+        return;
+    m_context.routes = std::make_shared<const RouteTable>(std::move(read));
+    m_context.configText = text;
+    logConfig(m_context, source);
+    m_peers.tellAll();
+}
+
+LogFollower::Handlers Gateway::configHandlers()
+{
+    auto take = [this](const LogRecord& record) {
+        if (record.value && m_context.platform.isConfigKey(record.key))
+            adoptConfig(*record.value, "store");
+    };
+    return { [] {}, take, [] {} };
+}
+
+LogFollower::Handlers Gateway::hostHandlers()
+{
+    return { [this] { m_listing.clear(); },
+        [this](const LogRecord& record) {
+            m_listing.insert(record.key);
+            takeHost(record);
+        },
+        [this] { dropUnlistedHosts(); } };
+}
+
+void Gateway::takeHost(const LogRecord& record)
+{
+    if (!record.value) {
+        m_context.log.write("host_unlisted", { { "host", record.key }, { "offset", record.offset } });
+        m_context.hosts.unlisted(record.key);
+        return;
+    }
+    auto host = m_context.platform.host(record.key, *record.value);
+    if (auto* error = std::get_if<Error>(&host)) {
+        m_context.log.write("host_unreadable", { { "host", record.key }, { "problem", describe(*error) } });
+        return;
+    }
+    const Host* known = m_context.hosts.find(record.key);
+    auto& listed = std::get<Host>(host);
+    if (!known || known->draining != listed.draining)
+        m_context.log.write("host_listed", { { "host", listed.id }, { "service", listed.service },
+            { "draining", listed.draining }, { "zone", listed.zone }, { "domain", listed.status.domain } });
+    m_context.hosts.listed(std::move(listed));
+}
+
+void Gateway::dropUnlistedHosts()
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        if (!m_listing.contains(id))
+            gone.push_back(id);
+    }
+    for (const std::string& id : gone)
+        m_context.hosts.unlisted(id);
+    m_context.hostsListed = true;
+}
+
+void Gateway::fillDigest(PeerDigest& digest) const
+{
+    digest.isReady = isReady();
+    MonotonicTime now = m_context.now();
+    for (const auto& [id, at] : m_stoodStillAt) {
+        if (now - at < tellStandingStillFor)
+            digest.standingStill.push_back(id);
+    }
+    for (const auto& [model, demand] : m_context.demand)
+        digest.waiting[model] = demand.waiting;
+    digest.reported = m_controller.recentStatuses();
+}
+
+void Gateway::takeDigest(const PeerDigest& digest)
+{
+    if (!digest.configText.empty())
+        adoptConfig(digest.configText, digest.name);
+    for (const ReportedStatus& reported : digest.reported)
+        m_context.hosts.reported(reported.hostId, reported.status);
+    for (const std::string& id : digest.standingStill)
+        m_context.balancer.suspect(id, m_context.now() + avoidOnHearsay);
+}
+
+asio::awaitable<void> Gateway::keepUp()
+{
+    for (int tick = 0;; ++tick) {
+        refreshOthersInFlight();
+        refreshTargets();
+        cutStandingStill();
+        updateDemand();
+        if (tick % slowTicks == 0) {
+            m_context.pool.closeIdle(m_context.now());
+            m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
+            m_sessions.remove_if([](const auto& session) { return session.expired(); });
+        }
+        co_await pause(keepUpPeriod);
+    }
+}
+
+void Gateway::refreshOthersInFlight()
+{
+    std::map<std::string, uint32_t, std::less<>> total;
+    m_peers.forEachAlive([&](const PeerDigest& digest) {
+        for (const auto& [id, count] : digest.inFlight)
+            total[id] += count;
+    });
+    m_context.balancer.setOthersInFlight(std::move(total));
+}
+
+// A replica takes requests while its head is open and every member is listed, at the same epoch, and stays.
+void Gateway::refreshTargets()
+{
+    if (!m_context.routes
+        || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
+        return;
+    m_targetsOf = m_context.hosts.version();
+    m_targetsOfRoutes = m_context.routes.get();
+    const FleetConfig& config = m_context.routes->config();
+    std::vector<ServingTarget> targets;
+    for (const ReplicaView& replica : m_context.hosts.replicas()) {
+        const ServiceSpec* service = config.service(replica.service);
+        const ModelSpec* model = service ? service->model(replica.model) : nullptr;
+        bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
+        bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
+        if (!model || !isOpen || isLeaving || replica.members.size() != model->hostsPerReplica)
+            continue;
+        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
+            service->capacity > 0 ? service->capacity : replica.head->capacity, model->pace });
+    }
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        const ServiceSpec* service = config.service(host.service);
+        if (service && !service->servesModels() && !host.draining)
+            targets.push_back({ id, service->name, {}, host.zone, host.capacity, 1 });
+    }
+    m_context.balancer.setTargets(std::move(targets));
+}
+
+// All streams of a replica that lost a member stop at once; they go on elsewhere rather than wait for it to break.
+void Gateway::cutStandingStill()
+{
+    MonotonicTime now = m_context.now();
+    for (const std::string& id : m_context.balancer.standingStill(now)) {
+        m_stoodStillAt[id] = now;
+        size_t cut = 0;
+        std::vector<std::shared_ptr<ActiveCall>> calls(m_context.calls.begin(), m_context.calls.end());
+        for (const auto& call : calls) {
+            if (call->hostId != id || !call->backend)
+                continue;
+            call->cutStalledSend();
+            ++cut;
+        }
+        m_context.log.write("replica_stands_still", { { "host", id }, { "calls", cut } });
+        m_context.metrics.count("replicas_standing_still_total");
+        m_peers.tellAll();
+    }
+    std::erase_if(m_stoodStillAt, [&](const auto& entry) { return now - entry.second > tellStandingStillFor; });
+}
+
+void Gateway::updateDemand()
+{
+    double perSecond = 1000.0 / static_cast<double>(keepUpPeriod.count());
+    for (auto& [model, demand] : m_context.demand) {
+        demand.waiting += waitingGain * (demand.refusedSinceTick * perSecond * secondsPerRefused - demand.waiting);
+        demand.refusedSinceTick = 0;
+    }
+}
+
+void Gateway::stop()
+{
+    if (m_context.isStopping)
+        return;
+    m_context.isStopping = true;
+    m_context.log.write("stopping", { { "calls", m_context.calls.size() } });
+    m_peers.tellAll();
+    asio::co_spawn(m_context.io, stopGracefully(), asio::detached);
+}
+
+// Callers hear of it by their next question about nodes; until the latest of them has, this node serves on. Only then
+// are connections without a request closed.
+asio::awaitable<void> Gateway::stopGracefully()
+{
+    MonotonicTime begun = m_context.now();
+    MonotonicTime atLatest = begun + m_context.settings.stopGrace - stopMargin;
+    co_await m_lease.release();
+    MonotonicTime callersGone = begun + m_context.settings.entriesLifetime * staleAnswerLifetimes + stopMargin;
+    while (m_context.now() < std::min(callersGone, atLatest))
+        co_await pause(keepUpPeriod);
+    m_callers.stop();
+    while (m_context.now() < atLatest) {
+        for (const auto& weak : m_sessions) {
+            if (auto session = weak.lock())
+                session->closeIfIdle();
+        }
+        if (m_context.calls.empty())
+            break;
+        co_await pause(keepUpPeriod);
+    }
+    std::vector<std::shared_ptr<ActiveCall>> left(m_context.calls.begin(), m_context.calls.end());
+    for (const auto& call : left)
+        call->cut(CallEnd::Stopping);
+    co_await pause(keepUpPeriod);
+    m_context.log.write("stopped", { { "cut_off", left.size() } });
+    m_context.log.flush();
+    m_context.io.stop();
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "gateway/callersession.h"
+#include "gateway/context.h"
+#include "gateway/controllerloop.h"
+#include "gateway/lease.h"
+#include "gateway/listener.h"
+#include "gateway/peers.h"
+#include "gateway/storeclient.h"
+
+#include <list>
+#include <memory>
+
+namespace Kumquatpick {
+
+// One node: takes callers' requests and forwards them, follows the store, talks with the other nodes, and controls
+// the replicas while it holds the lease. One event loop; run() returns after a graceful stop.
+class Gateway {
+public:
+    Gateway(asio::io_context&, const GatewaySettings&, const Platform&);
+
+    // Fails if an address can't be bound.
+    Settled<std::monostate> start();
+    // Takes no more work and ends the loop once what runs is done, at the latest shortly before the grace is over.
+    void stop();
+
+private:
+    void acceptCaller(asio::ip::tcp::socket);
+    HttpResponse answerReadiness(const HttpRequest&) const;
+    HttpResponse answerEntries(const HttpRequest&);
+    bool isReady() const;
+
+    void adoptConfig(std::string_view text, std::string_view source);
+    void takeHost(const LogRecord&);
+    void dropUnlistedHosts();
+    LogFollower::Handlers configHandlers();
+    LogFollower::Handlers hostHandlers();
+
+    void fillDigest(PeerDigest&) const;
+    void takeDigest(const PeerDigest&);
+
+    asio::awaitable<void> keepUp();
+    void refreshTargets();
+    void refreshOthersInFlight();
+    void cutStandingStill();
+    void updateDemand();
+    asio::awaitable<void> stopGracefully();
+
+    GatewayContext m_context;
+    StoreHealth m_health;
+    Peers m_peers;
+    ControllerLease m_lease;
+    ControllerLoop m_controller;
+    LogFollower m_configFollower;
+    LogFollower m_hostFollower;
+    GatewayListener m_callers;
+    QuestionServer m_readiness;
+    QuestionServer m_entries;
+    QuestionServer m_peerServer;
+    std::list<std::weak_ptr<CallerSession>> m_sessions;
+    std::set<std::string, std::less<>> m_listing; // Hosts seen in the listing under way.
+    std::map<std::string, MonotonicTime, std::less<>> m_stoodStillAt; // Heads.
+    uint64_t m_targetsOf = UINT64_MAX; // Versions that the targets were made from.
+    const RouteTable* m_targetsOfRoutes = nullptr;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/lease.cpp
@@ -0,0 +1,114 @@
+#include "gateway/lease.h"
+
+#include "gateway/asio.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <time.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds renewEvery { 1000 };
+    // The holder stops by itself this long after it sent its last successful claim, and others wait longer, counted
+    // from when they read it: the difference covers an order that is just being sent.
+    constexpr Milliseconds holderLease { 2600 };
+    constexpr Milliseconds takeOverAfter { 3200 };
+    constexpr Milliseconds claimTimeout { 1000 };
+    constexpr Milliseconds step { 100 };
+    // Nodes that wait for the same end don't claim in the same moment.
+    constexpr double claimSpreadMs = 250;
+
+    constexpr LogFollower::Pace controllerPace { Milliseconds(1500), Milliseconds(50), false };
+
+}
+
+ControllerLease::BootTime ControllerLease::bootNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<BootTime>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+ControllerLease::ControllerLease(GatewayContext& context, StoreHealth& health)
+    : m_context(context)
+    , m_follower(context, health, LogName::Controller, controllerPace,
+          { [] {}, [this](const LogRecord& record) { take(record); }, [] {} })
+    , m_self(fmt::format("{}/{:x}", context.settings.name, context.random()))
+    , m_seenAt(bootNow())
+{
+}
+
+void ControllerLease::take(const LogRecord& record)
+{
+    auto entry = nlohmann::json::parse(record.value.value_or(""), nullptr, false);
+    if (!entry.is_object())
+        return;
+    std::string holder = entry.value("holder", "");
+    if (holder != m_holder) {
+        m_context.log.write("controller", { { "holder", holder }, { "before", m_holder }, { "fencing", record.offset } });
+        m_term = record.offset;
+    }
+    m_holder = holder;
+    m_seenAt = bootNow();
+}
+
+std::optional<uint64_t> ControllerLease::fencing() const
+{
+    bool isHolder = m_holder == m_self && bootNow() - m_validFrom < holderLease && m_fencedTerm != m_term;
+    return isHolder && !m_isReleased ? std::optional(m_term + 1) : std::nullopt;
+}
+
+void ControllerLease::fencedOff(uint64_t fencing)
+{
+    m_fencedTerm = fencing - 1;
+    m_context.log.write("controller_fenced", { { "fencing", fencing } });
+}
+
+asio::awaitable<void> ControllerLease::run()
+{
+    for (;;) {
+        co_await pause(step);
+        if (m_context.isStopping || m_isReleased)
+            continue;
+        bool isOwn = m_holder == m_self;
+        BootTime waited = bootNow() - (isOwn ? m_validFrom : m_seenAt);
+        bool isFree = m_holder.empty();
+        if (isOwn ? waited >= renewEvery : (isFree || waited >= takeOverAfter)) {
+            if (!isOwn)
+                co_await pause(std::chrono::duration_cast<Milliseconds>(
+                    std::chrono::duration<double, std::milli>(claimSpreadMs * m_context.draw())));
+            bool isStillDue = isOwn || m_holder.empty() || bootNow() - m_seenAt >= takeOverAfter;
+            if (isStillDue && m_context.hostsListed)
+                co_await claim(false);
+        }
+    }
+}
+
+asio::awaitable<void> ControllerLease::claim(bool isRelease)
+{
+    BootTime sentAt = bootNow();
+    std::string record = nlohmann::json { { "holder", isRelease ? "" : m_self } }.dump();
+    m_context.metrics.count("store_calls_total{kind=\"append\"}");
+    auto answer = co_await m_context.pool.exchange(m_context.settings.store,
+        m_context.platform.append(LogName::Controller, m_follower.nextOffset(), record), claimTimeout, Step::LogAppend);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto offset = response ? m_context.platform.appendedAt(*response) : Settled<uint64_t>(std::get<Error>(answer));
+    if (auto* error = std::get_if<Error>(&offset)) {
+        m_context.log.write("claim_failed", { { "problem", describe(*error) } });
+        co_return;
+    }
+    // The reader sees the record itself within a moment; until then the lease does not count.
+    m_validFrom = sentAt;
+}
+
+asio::awaitable<void> ControllerLease::release()
+{
+    if (m_holder != m_self)
+        co_return;
+    m_isReleased = true;
+    co_await claim(true);
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/lease.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gateway/context.h"
+#include "gateway/storeclient.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Kumquatpick {
+
+// Which node controls the replicas, as the controller log's records tell in their order. A record is a node's claim to
+// be controller from there on; a claim is only appended where the log ends as its writer read it, so of two that race
+// one fails. The offset of a holder's first record is its fencing number: hosts refuse what a later holder forbade.
+//
+// Time is that of the boot clock, which also counts a suspended host's sleep.
+class ControllerLease {
+public:
+    using BootTime = std::chrono::milliseconds;
+
+    ControllerLease(GatewayContext&, StoreHealth&);
+
+    asio::awaitable<void> follow() { return m_follower.run(); }
+    asio::awaitable<void> run();
+    // Lets another node take over at once; for a planned stop.
+    asio::awaitable<void> release();
+
+    // Of this node while it may give orders; nothing else.
+    std::optional<uint64_t> fencing() const;
+    // A host obeys a later controller: this term is over, whatever the clock says.
+    void fencedOff(uint64_t fencing);
+    const std::string& holder() const { return m_holder; }
+
+    static BootTime bootNow();
+
+private:
+    void take(const LogRecord&);
+    asio::awaitable<void> claim(bool isRelease);
+
+    GatewayContext& m_context;
+    LogFollower m_follower;
+    std::string m_self; // This life of this node.
+    std::string m_holder;
+    uint64_t m_term = 0; // The holder's first offset.
+    BootTime m_seenAt {}; // When the holder's latest record was read here.
+    BootTime m_validFrom {}; // Own lease: when the latest claim that succeeded was sent.
+    std::optional<uint64_t> m_fencedTerm;
+    bool m_isReleased = false;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/listener.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/address.h"
+#include "gateway/http.h"
+#include "gateway/platform.h"
+
+#include <functional>
+#include <memory>
+
+namespace Kumquatpick {
+
+// Accepts connections at one address and hands them on.
+class GatewayListener {
+public:
+    using Accept = std::function<void(asio::ip::tcp::socket)>;
+
+    GatewayListener(asio::io_context&, Accept);
+
+    // Fails with InvalidArgument if the address can't be bound.
+    Settled<uint16_t> start(const Address&);
+    void stop();
+
+private:
+    asio::awaitable<void> run();
+
+    asio::io_context& m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    Accept m_accept;
+};
+
+// Answers short questions of other programs, each from what the node has in memory.
+class QuestionServer {
+public:
+    using Answer = std::function<HttpResponse(const HttpRequest&)>;
+
+    QuestionServer(asio::io_context&, Answer);
+    Settled<uint16_t> start(const Address& address) { return m_listener.start(address); }
+
+private:
+    asio::awaitable<void> serve(asio::ip::tcp::socket);
+
+    asio::io_context& m_io;
+    Answer m_answer;
+    GatewayListener m_listener;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/peerdigest.cpp
@@ -0,0 +1,85 @@
+#include "gateway/peerdigest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    using nlohmann::json;
+
+    json encodeStatus(const ReportedStatus& reported)
+    {
+        json result { { "host", reported.hostId }, { "orders", reported.status.ordersAccepted },
+            { "model", reported.status.model }, { "staged", reported.status.stagedModels },
+            { "domain", reported.status.domain } };
+        if (const auto& membership = reported.status.membership) {
+            result["replica"] = membership->replica;
+            result["epoch"] = membership->epoch;
+            result["rank"] = membership->rank;
+            result["state"] = static_cast<int>(membership->state);
+        }
+        return result;
+    }
+
+    ReportedStatus decodeStatus(const json& entry)
+    {
+        ReportedStatus reported;
+        reported.hostId = entry.at("host").get<std::string>();
+        reported.status.ordersAccepted = entry.at("orders").get<uint64_t>();
+        reported.status.model = entry.at("model").get<std::string>();
+        reported.status.stagedModels = entry.at("staged").get<std::vector<std::string>>();
+        reported.status.domain = entry.at("domain").get<std::string>();
+        if (entry.contains("replica")) {
+            int state = std::clamp(entry.at("state").get<int>(), 0, static_cast<int>(MemberState::Broken));
+            reported.status.membership = Membership { entry["replica"].get<std::string>(),
+                entry.at("epoch").get<uint64_t>(), entry.at("rank").get<uint32_t>(), static_cast<MemberState>(state) };
+        }
+        return reported;
+    }
+
+}
+
+std::string encode(const PeerDigest& digest)
+{
+    json result { { "name", digest.name }, { "incarnation", digest.incarnation }, { "callers", digest.callers },
+        { "peers", digest.peers }, { "zone", digest.zone }, { "stopping", digest.isStopping },
+        { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
+        { "in_flight", digest.inFlight }, { "waiting", digest.waiting }, { "still", digest.standingStill },
+        { "known", digest.knownPeers }, { "leaving", digest.leaving } };
+    if (!digest.configText.empty())
+        result["config_text"] = digest.configText;
+    for (const auto& reported : digest.reported)
+        result["reported"].push_back(encodeStatus(reported));
+    return result.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<PeerDigest> decodeDigest(std::string_view text)
+{
+    try {
+        json entry = json::parse(text);
+        PeerDigest digest;
+        digest.name = entry.at("name").get<std::string>();
+        digest.incarnation = entry.at("incarnation").get<uint64_t>();
+        digest.callers = entry.at("callers").get<std::string>();
+        digest.peers = entry.at("peers").get<std::string>();
+        digest.zone = entry.at("zone").get<std::string>();
+        digest.isStopping = entry.at("stopping").get<bool>();
+        digest.isReady = entry.at("ready").get<bool>();
+        digest.anyCallSeen = entry.at("calls_seen").get<bool>();
+        digest.configVersion = entry.at("config").get<uint64_t>();
+        digest.configText = entry.value("config_text", "");
+        digest.inFlight = entry.at("in_flight").get<std::map<std::string, uint32_t, std::less<>>>();
+        digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
+        digest.standingStill = entry.at("still").get<std::vector<std::string>>();
+        digest.knownPeers = entry.at("known").get<std::vector<std::string>>();
+        digest.leaving = entry.at("leaving").get<std::vector<std::string>>();
+        for (const auto& reported : entry.value("reported", json::array()))
+            digest.reported.push_back(decodeStatus(reported));
+        return digest;
+    } catch (const json::exception&) {
+        return std::nullopt; // The reader logs it with the peer's address.
+    }
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/peerdigest.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "fleet/host.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Kumquatpick {
+
+// A host's own status as the controller read it, for nodes whose list is behind.
+struct ReportedStatus {
+    std::string hostId;
+    HostStatus status;
+};
+
+// What a node tells the others of itself, some times a second.
+struct PeerDigest {
+    std::string name;
+    uint64_t incarnation = 0; // Of this life of the process.
+    std::string callers; // Where it takes requests.
+    std::string peers; // Where it takes digests.
+    std::string zone;
+    bool isStopping = false;
+    bool isReady = false;
+    bool anyCallSeen = false;
+    uint64_t configVersion = 0;
+    std::string configText; // Only to a node that has an older one.
+    std::map<std::string, uint32_t, std::less<>> inFlight; // By host.
+    std::map<std::string, double, std::less<>> waiting; // Places that refused calls would have held, by model.
+    std::vector<std::string> standingStill; // Heads.
+    std::vector<std::string> knownPeers; // Addresses for digests.
+    std::vector<ReportedStatus> reported;
+    std::vector<std::string> leaving; // Hosts that are draining or gone, as the list said lately.
+};
+
+std::string encode(const PeerDigest&);
+// Nothing if it can't be read.
+std::optional<PeerDigest> decodeDigest(std::string_view);
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/peers.cpp
@@ -0,0 +1,171 @@
+#include "gateway/peers.h"
+
+#include "gateway/asio.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds roundPeriod { 250 };
+    // Four rounds: one lost packet costs its sender a second.
+    constexpr Milliseconds aliveFor { 1300 };
+    constexpr Milliseconds callTimeout { 800 };
+    // Peers that a round calls; in a small fleet, all of them.
+    constexpr size_t peersPerRound = 8;
+    // A silent peer is tried less often, and one that stays silent is forgotten.
+    constexpr int triesBeforeSlow = 4;
+    constexpr Milliseconds slowPeriod { 1500 };
+    constexpr int triesBeforeForgotten = 40;
+
+}
+
+Peers::Peers(GatewayContext& context, FillDigest fill, TakeDigest take)
+    : m_context(context)
+    , m_fill(std::move(fill))
+    , m_take(std::move(take))
+    , m_incarnation(context.random() >> 12) // Fits into a JSON number of every reader.
+{
+    for (const Address& seed : context.settings.seedAddresses())
+        addKnown(seed);
+}
+
+void Peers::addKnown(const Address& address)
+{
+    if (address != m_context.settings.peers)
+        m_peers.try_emplace(address.toString());
+}
+
+bool Peers::isAlive(const Peer& peer) const
+{
+    return !peer.digest.name.empty() && m_context.now() - peer.heardAt < aliveFor;
+}
+
+asio::awaitable<void> Peers::run()
+{
+    for (;;) {
+        tellAll();
+        std::erase_if(m_peers, [](const auto& entry) { return entry.second.failures > triesBeforeForgotten; });
+        co_await pause(roundPeriod);
+    }
+}
+
+void Peers::tellAll()
+{
+    MonotonicTime now = m_context.now();
+    std::vector<std::string> due;
+    for (const auto& [address, peer] : m_peers) {
+        bool isSlow = peer.failures > triesBeforeSlow && now - peer.triedAt < slowPeriod;
+        if (!peer.isBusy && !isSlow)
+            due.push_back(address);
+    }
+    std::ranges::shuffle(due, m_context.random);
+    due.resize(std::min(due.size(), peersPerRound));
+    for (std::string& address : due)
+        asio::co_spawn(m_context.io, call(std::move(address)), asio::detached);
+}
+
+asio::awaitable<void> Peers::call(std::string address)
+{
+    Peer& peer = m_peers[address];
+    peer.isBusy = true;
+    peer.triedAt = m_context.now();
+    HttpRequest request(http::verb::post, "/digest", 11);
+    request.body() = encode(ownDigest(peer.digest.name.empty() ? 0 : peer.digest.configVersion));
+    request.prepare_payload();
+    auto parsed = settle([&] { return Address::parse(address); });
+    auto answer = co_await m_context.pool.exchange(std::get<Address>(parsed), std::move(request), callTimeout, Step::Gossip);
+    auto found = m_peers.find(address);
+    if (found == m_peers.end())
+        co_return;
+    found->second.isBusy = false;
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto digest = response ? decodeDigest(response->body()) : std::nullopt;
+    if (!digest) {
+        ++found->second.failures;
+        co_return;
+    }
+    found->second.failures = 0;
+    take(std::move(*digest));
+}
+
+HttpResponse Peers::answer(const HttpRequest& request)
+{
+    auto digest = decodeDigest(request.body());
+    if (!digest) {
+        m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
+        return { http::status::bad_request, 11 };
+    }
+    uint64_t configOfReader = digest->configVersion;
+    take(std::move(*digest));
+    HttpResponse response(http::status::ok, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = encode(ownDigest(configOfReader));
+    return response;
+}
+
+PeerDigest Peers::ownDigest(uint64_t configOfReader)
+{
+    PeerDigest digest;
+    digest.name = m_context.settings.name;
+    digest.incarnation = m_incarnation;
+    digest.callers = m_context.settings.callers.toString();
+    digest.peers = m_context.settings.peers.toString();
+    digest.zone = m_context.settings.zone;
+    digest.isStopping = m_context.isStopping;
+    digest.anyCallSeen = m_context.anyCallSeen;
+    digest.configVersion = m_context.routes ? m_context.routes->version() : 0;
+    if (configOfReader < digest.configVersion)
+        digest.configText = m_context.configText;
+    digest.inFlight = m_context.balancer.inFlight();
+    for (const auto& [address, peer] : m_peers) {
+        if (isAlive(peer))
+            digest.knownPeers.push_back(address);
+    }
+    m_fill(digest);
+    return digest;
+}
+
+void Peers::take(PeerDigest digest)
+{
+    if (digest.peers == m_context.settings.peers.toString())
+        return;
+    for (const std::string& known : digest.knownPeers) {
+        auto address = settle([&] { return Address::parse(known); });
+        if (auto* valid = std::get_if<Address>(&address))
+            addKnown(*valid);
+    }
+    Peer& peer = m_peers[digest.peers];
+    bool isNews = !isAlive(peer) || peer.digest.incarnation != digest.incarnation
+        || peer.digest.isStopping != digest.isStopping;
+    peer.heardAt = m_context.now();
+    peer.failures = 0;
+    peer.digest = std::move(digest);
+    if (isNews)
+        m_context.log.write("peer", { { "peer", peer.digest.name }, { "stopping", peer.digest.isStopping },
+            { "config", peer.digest.configVersion } });
+    m_take(peer.digest);
+    peer.digest.configText.clear();
+}
+
+std::vector<std::string> Peers::callerAddresses(std::string_view zone) const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, peer] : m_peers) {
+        bool isOfZone = zone.empty() || peer.digest.zone == zone;
+        if (isAlive(peer) && peer.digest.isReady && !peer.digest.isStopping && isOfZone)
+            result.push_back(peer.digest.callers);
+    }
+    return result;
+}
+
+size_t Peers::aliveCount() const
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(m_peers, [this](const auto& entry) { return isAlive(entry.second); }));
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/peers.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gateway/context.h"
+#include "gateway/peerdigest.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Kumquatpick {
+
+// The other nodes, as their digests tell. Digests are exchanged both ways in one call, some times a second.
+class Peers {
+public:
+    using FillDigest = std::function<void(PeerDigest&)>;
+    using TakeDigest = std::function<void(const PeerDigest&)>;
+
+    Peers(GatewayContext&, FillDigest, TakeDigest);
+
+    asio::awaitable<void> run();
+    // Tells every peer now, for what must not wait for the next round.
+    void tellAll();
+    // A digest that came in, and the answer to it.
+    HttpResponse answer(const HttpRequest&);
+
+    // Addresses where other nodes that are alive and take requests do so.
+    std::vector<std::string> callerAddresses(std::string_view zone) const;
+    size_t aliveCount() const;
+    void addKnown(const Address&);
+    // Visits the digests of peers that are alive.
+    template <typename Visit> void forEachAlive(Visit&& visit) const
+    {
+        for (const auto& [address, peer] : m_peers) {
+            if (isAlive(peer))
+                visit(peer.digest);
+        }
+    }
+
+private:
+    struct Peer {
+        PeerDigest digest;
+        MonotonicTime heardAt {};
+        MonotonicTime triedAt {};
+        int failures = 0;
+        bool isBusy = false; // A call to it is under way.
+    };
+
+    bool isAlive(const Peer&) const;
+    PeerDigest ownDigest(uint64_t configOfReader);
+    void take(PeerDigest);
+    asio::awaitable<void> call(std::string address);
+
+    GatewayContext& m_context;
+    FillDigest m_fill;
+    TakeDigest m_take;
+    uint64_t m_incarnation;
+    std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/settings.cpp
@@ -0,0 +1,114 @@
+#include "gateway/settings.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Kumquatpick {
+
+namespace {
+
+    bool areAddresses(std::string_view list)
+    {
+        while (!list.empty()) {
+            std::string_view item = list.substr(0, list.find(','));
+            list.remove_prefix(std::min(list.size(), item.size() + 1));
+            auto parsed = settle([&] { return Address::parse(item); });
+            if (std::holds_alternative<Error>(parsed))
+                return false;
+        }
+        return true;
+    }
+
+    bool isShare(std::string_view text)
+    {
+        double value = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        return error == std::errc {} && end == text.data() + text.size() && value >= 0 && value <= 1;
+    }
+
+    std::vector<SettingGroup> groups(GatewaySettings& s)
+    {
+        return {
+            { "Identity",
+                {
+                    { "name", &s.name, "this node's name", true },
+                    { "zone", &s.zone, "its availability zone", true },
+                } },
+            { "Addresses",
+                {
+                    { "caller-listen", &s.callers, "where callers send requests", true },
+                    { "readiness-listen", &s.readiness, "readiness checks and metrics", true },
+                    { "entries-listen", &s.entries, "where callers ask which nodes to use", true },
+                    { "peer-listen", &s.peers, "where other nodes call", true },
+                    { .flag = "seeds",
+                        .into = &s.seeds,
+                        .help = "peer addresses of some nodes, by commas",
+                        .accepts = areAddresses,
+                        .expected = "addresses such as 10.0.0.7:7101, separated by commas" },
+                    { "store", &s.store, "the platform's store", true },
+                } },
+            { "Limits",
+                {
+                    { .flag = "stop-grace-ms",
+                        .into = &s.stopGrace,
+                        .help = "from SIGTERM until the process is killed",
+                        .lowest = 1000 },
+                    { .flag = "entries-lifetime-ms",
+                        .into = &s.entriesLifetime,
+                        .help = "how long callers may use an answer about nodes",
+                        .lowest = 100 },
+                    { .flag = "replica-stall-ms",
+                        .into = &s.replicaStall,
+                        .help = "after which a replica that lost a member gives up by itself" },
+                    { .flag = "retry-ratio",
+                        .into = &s.retryRatio,
+                        .help = "requests that may be repeated, as a share of those sent",
+                        .accepts = isShare,
+                        .expected = "a number from 0 to 1" },
+                    { .flag = "retry-window-s", .into = &s.retryWindow, .help = "over which that share counts", .lowest = 1 },
+                    { .flag = "retry-allowance",
+                        .into = &s.retryAllowance,
+                        .help = "repeats that the fleet may make on top, in each window",
+                        .unit = "requests" },
+                    { .flag = "queue-per-replica",
+                        .into = &s.queuePerReplica,
+                        .help = "requests that may wait at a replica beyond its places",
+                        .unit = "requests",
+                        .highest = 1000 },
+                } },
+        };
+    }
+
+}
+
+std::vector<Address> GatewaySettings::seedAddresses() const
+{
+    std::vector<Address> result;
+    std::string_view list = seeds;
+    while (!list.empty()) {
+        std::string_view item = list.substr(0, list.find(','));
+        list.remove_prefix(std::min(list.size(), item.size() + 1));
+        auto parsed = settle([&] { return Address::parse(item); });
+        if (auto* address = std::get_if<Address>(&parsed))
+            result.push_back(*address);
+    }
+    return result;
+}
+
+RetryLimits GatewaySettings::retryLimits() const
+{
+    return { std::strtod(retryRatio.c_str(), nullptr), static_cast<double>(retryAllowance), retryWindow };
+}
+
+std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(
+    std::span<const std::string> arguments, const Environment& environment)
+{
+    GatewaySettings settings;
+    SettingsParser parser(
+        { "kumquatpick-gateway", "One node of the serving system on a platform with a log store." }, groups(settings));
+    if (auto exit = parser.parse(arguments, environment))
+        return std::move(*exit);
+    return settings;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/storeclient.cpp
@@ -0,0 +1,123 @@
+#include "gateway/storeclient.h"
+
+#include "gateway/asio.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // On top of what the store may hold a read: a few of its usual answers, also when it is slow.
+    constexpr Milliseconds answerTimeout { 700 };
+    constexpr Milliseconds listingTimeout { 1500 };
+    constexpr Milliseconds firstBackOff { 100 };
+    constexpr Milliseconds longestBackOff { 800 };
+    // One lost answer is no interruption.
+    constexpr int failuresOfInterruption = 2;
+
+}
+
+void StoreHealth::answered()
+{
+    m_failures = 0;
+    if (m_isServing)
+        return;
+    m_isServing = true;
+    m_servesSince = m_context.now();
+    m_context.log.write("store_regained", nlohmann::json::object());
+}
+
+void StoreHealth::failed(const Error& error)
+{
+    m_context.metrics.count("store_failures_total");
+    if (++m_failures < failuresOfInterruption || !m_isServing)
+        return;
+    m_isServing = false;
+    m_context.log.write("store_lost", { { "problem", describe(error) } });
+}
+
+LogFollower::LogFollower(GatewayContext& context, StoreHealth& health, LogName log, Pace pace, Handlers handlers)
+    : m_context(context)
+    , m_health(health)
+    , m_log(log)
+    , m_pace(pace)
+    , m_handlers(std::move(handlers))
+{
+}
+
+asio::awaitable<void> LogFollower::run()
+{
+    for (;;) {
+        bool isDone = m_pace.isKeyed && !m_isListed ? co_await listNewest() : co_await readOn();
+        if (!isDone)
+            co_await backOff();
+        else if (m_pace.pauseAfter.count() > 0)
+            co_await pause(m_pace.pauseAfter);
+    }
+}
+
+asio::awaitable<bool> LogFollower::listNewest()
+{
+    // Pages are no snapshot: what changes between them is read again from where the log ended at the first.
+    std::optional<uint64_t> end;
+    std::string after;
+    std::vector<LogRecord> records;
+    for (bool hasMore = true; hasMore;) {
+        m_context.metrics.count("store_calls_total{kind=\"newest\"}");
+        auto answer = co_await m_context.pool.exchange(
+            m_context.settings.store, m_context.platform.readNewest(m_log, after), listingTimeout, Step::LogRead);
+        auto* response = std::get_if<HttpResponse>(&answer);
+        auto page = response ? m_context.platform.newestPage(*response) : Settled<LogPage>(std::get<Error>(answer));
+        if (auto* error = std::get_if<Error>(&page)) {
+            m_health.failed(*error);
+            co_return false;
+        }
+        auto& found = std::get<LogPage>(page);
+        end = end.value_or(found.nextOffset);
+        hasMore = found.hasMore && !found.records.empty();
+        if (hasMore)
+            after = found.records.back().key;
+        std::ranges::move(found.records, std::back_inserter(records));
+    }
+    m_health.answered();
+    m_handlers.beginListing();
+    for (const LogRecord& record : records)
+        m_handlers.record(record);
+    m_handlers.endListing();
+    m_next = *end;
+    m_isListed = true;
+    m_failures = 0;
+    co_return true;
+}
+
+asio::awaitable<bool> LogFollower::readOn()
+{
+    m_context.metrics.count("store_calls_total{kind=\"read\"}");
+    auto answer = co_await m_context.pool.exchange(m_context.settings.store,
+        m_context.platform.readLog(m_log, m_next, m_pace.wait), m_pace.wait + answerTimeout, Step::LogRead);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto page = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
+    if (auto* error = std::get_if<Error>(&page)) {
+        m_health.failed(*error);
+        co_return false;
+    }
+    m_health.answered();
+    m_failures = 0;
+    const LogPage& found = std::get<LogPage>(page);
+    if (found.isGap)
+        m_isListed = false;
+    for (const LogRecord& record : found.records)
+        m_handlers.record(record);
+    m_next = found.nextOffset;
+    co_return true;
+}
+
+asio::awaitable<void> LogFollower::backOff()
+{
+    auto longest = std::min(longestBackOff, firstBackOff * (1 << std::min(m_failures++, 4)));
+    co_await pause(std::chrono::duration_cast<Milliseconds>(longest * (0.5 + 0.5 * m_context.draw())));
+}
+
+} // namespace Kumquatpick
