Free a replica's members only once its head can't serve any more

Ruled out: late orders and two controllers (one fencing number throughout). Change: refused is not ended; a notice, the list and time decide, and the head of each replica is remembered from the start.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -137,7 +137,8 @@
         break;
     case SendEnd::Failed:
         target.failures = std::min(mostFailures, target.failures + 1);
-        target.avoidUntil = std::max(target.avoidUntil, now + avoidFailed * static_cast<int>(std::ceil(target.failures)));
+        target.avoidUntil
+            = std::max(target.avoidUntil, now + avoidFailed * static_cast<int>(std::ceil(target.failures)));
         break;
     case SendEnd::Stalled:
         target.avoidUntil = std::max(target.avoidUntil, now + avoidStalled);
@@ -167,7 +168,8 @@
     for (const auto& [id, target] : m_targets) {
         if (target.writing == 0 || target.what.model.empty())
             continue;
-        double limit = target.gapMs > 0 ? std::clamp(stillGaps * target.gapMs, shortestStillMs, longestStillMs) : firstStillMs;
+        double limit
+            = target.gapMs > 0 ? std::clamp(stillGaps * target.gapMs, shortestStillMs, longestStillMs) : firstStillMs;
         // One stream alone may have lost its place to others; with two, both would have to.
         if (target.writing == 1)
             limit *= 2;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -14,6 +14,11 @@
     // A head that is silent may still serve, until its replica gives up for want of a member; on top of that time,
     // for reports that are late.
     constexpr Milliseconds silentHeadMargin { 500 };
+    // A host that leaves finishes what its replica has, for as long as engines allow at most; its entry goes when it
+    // has ended. One that ends without notice is not heard of again, and a notice would show within this time.
+    constexpr Milliseconds longestLastWork { 10'500 };
+    constexpr Milliseconds lastWorkUnlisted { 300 };
+    constexpr Milliseconds suddenEnd { 1500 };
     // Loads share the weight store: one may take several times its own time.
     constexpr int longestLoads = 4;
     constexpr Milliseconds formationMargin { 10'000 };
@@ -63,7 +68,7 @@
     std::erase_if(m_formations, [](const Formation& formation) { return formation.failed; });
 
     std::vector<ReplicaView> replicas = input.hosts.replicas();
-    std::erase_if(m_dissolutions, [&](const auto& entry) {
+    std::erase_if(m_watches, [&](const auto& entry) {
         return std::ranges::none_of(
             replicas, [&](const ReplicaView& view) { return ReplicaKey(view.name, view.epoch) == entry.first; });
     });
@@ -81,7 +86,7 @@
     if (!host || host->draining)
         return false;
     HostContact contact = input.contact(hostId);
-    return contact != HostContact::Silent && contact != HostContact::Ended;
+    return contact == HostContact::Unknown || contact == HostContact::Answers;
 }
 
 void ReplicaPlanner::advanceFormation(const PlannerInput& input, Formation& formation, std::vector<HostOrder>& orders)
@@ -109,10 +114,8 @@
         formation.failed = true; // Served its purpose: the replica is supervised from now on.
         return;
     }
-    if (formation.openSent && input.now - *formation.openSent < orderRepeat)
-        return;
-    formation.openSent = input.now;
-    orders.push_back({ OrderKind::Open, head.id, formation.replica, formation.epoch, {}, {} });
+    if (takeOrderTurn(formation.openSent, input.now))
+        orders.push_back({ OrderKind::Open, head.id, formation.replica, formation.epoch, {}, {} });
 }
 
 void ReplicaPlanner::orderJoins(const PlannerInput& input, Formation& formation, std::vector<HostOrder>& orders)
@@ -132,7 +135,9 @@
 // The head first: an open that is still on its way must find nothing to open.
 void ReplicaPlanner::abandon(const Formation& formation, std::vector<HostOrder>& orders)
 {
-    m_dissolutions[{ formation.replica, formation.epoch }].headId = formation.members.front();
+    Watch& watch = m_watches[{ formation.replica, formation.epoch }];
+    watch.headId = formation.members.front();
+    watch.isDissolving = true;
     for (const std::string& id : formation.members) {
         if (formation.joinSent.contains(id))
             orders.push_back({ OrderKind::Leave, id, formation.replica, formation.epoch, {}, {} });
@@ -147,8 +152,13 @@
     });
     if (isForming)
         return;
-    if (m_dissolutions.contains({ replica.name, replica.epoch }) || !replica.head
-        || !isTakingRequests(replica.head->status.membership->state))
+    Watch& watch = m_watches[{ replica.name, replica.epoch }];
+    if (replica.head) {
+        watch.headId = replica.head->id;
+        watch.headIsLeaving = watch.headIsLeaving || replica.head->draining;
+        watch.headMissingSince.reset();
+    }
+    if (watch.isDissolving || !replica.head || !isTakingRequests(replica.head->status.membership->state))
         return dissolve(input, replica, orders);
 
     const ModelSpec* model = input.service.model(replica.model);
@@ -160,60 +170,92 @@
         HostContact contact = input.contact(member->id);
         if (isDoubted)
             m_awaited.insert(member->id);
-        hasLost = hasLost || contact == HostContact::Ended || (isDoubted && contact == HostContact::Silent);
+        bool isLost = contact == HostContact::Ended || (contact == HostContact::Refused && !member->draining);
+        hasLost = hasLost || isLost || (isDoubted && contact == HostContact::Silent);
         isLeaving = isLeaving || member->draining;
     }
     if (hasLost)
         return dissolve(input, replica, orders);
-    if (isLeaving && replica.head->status.membership->state == MemberState::Open)
+    bool mayClose = isLeaving && replica.head->status.membership->state == MemberState::Open
+        && input.contact(replica.head->id) != HostContact::Refused;
+    if (mayClose && takeOrderTurn(watch.closeSent, input.now))
         orders.push_back({ OrderKind::Close, replica.head->id, replica.name, replica.epoch, {}, {} });
 }
 
+bool ReplicaPlanner::takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const
+{
+    if (sent && now - *sent < orderRepeat)
+        return false;
+    sent = now;
+    return true;
+}
+
 void ReplicaPlanner::dissolve(const PlannerInput& input, const ReplicaView& replica, std::vector<HostOrder>& orders)
 {
-    Dissolution& dissolution = m_dissolutions[{ replica.name, replica.epoch }];
-    if (!replica.head) {
-        followMissingHead(input, dissolution);
-        if (!dissolution.headId.empty() && !dissolution.headIsOut)
-            m_awaited.insert(dissolution.headId);
+    Watch& watch = m_watches[{ replica.name, replica.epoch }];
+    watch.isDissolving = true;
+    if (watch.headIsOut && !replica.head)
         return;
-    }
-    dissolution.headId = replica.head->id;
-    m_awaited.insert(replica.head->id);
-    if (input.contact(replica.head->id) == HostContact::Ended)
-        dissolution.headIsOut = true;
-    if (dissolution.leaveSent && input.now - *dissolution.leaveSent < orderRepeat)
+    if (!watch.headId.empty())
+        m_awaited.insert(watch.headId);
+    followHead(input, replica, watch);
+    orderLeave(input, replica, watch, orders);
+}
+
+// To a head that is listed, or that lives on without being listed, as far as it takes orders.
+void ReplicaPlanner::orderLeave(
+    const PlannerInput& input, const ReplicaView& replica, Watch& watch, std::vector<HostOrder>& orders)
+{
+    HostContact contact = input.contact(watch.headId);
+    bool takesOrders = replica.head ? contact != HostContact::Refused : contact == HostContact::Answers;
+    if (watch.headId.empty() || !takesOrders || watch.headIsOut)
         return;
-    dissolution.leaveSent = input.now;
-    orders.push_back({ OrderKind::Leave, replica.head->id, replica.name, replica.epoch, {}, {} });
+    if (takeOrderTurn(watch.leaveSent, input.now))
+        orders.push_back({ OrderKind::Leave, watch.headId, replica.name, replica.epoch, {}, {} });
 }
 
-// No host says any more that it is the head: it left, joined another replica, or is off the list.
-void ReplicaPlanner::followMissingHead(const PlannerInput& input, Dissolution& dissolution) const
+// Whether the head can still serve its replica, as far as can be told without its own word. A head that leaves stops
+// listening first and ends only after its last request: that nothing listens tells of an end only if it was sudden.
+void ReplicaPlanner::followHead(const PlannerInput& input, const ReplicaView& replica, Watch& watch) const
 {
-    const Host* head = input.hosts.find(dissolution.headId);
-    if (head || (!dissolution.headId.empty() && input.contact(dissolution.headId) == HostContact::Ended)) {
-        dissolution.headIsOut = true; // Listed, and not a member any more.
+    const Host* head = input.hosts.find(watch.headId);
+    HostContact contact = watch.headId.empty() ? HostContact::Unknown : input.contact(watch.headId);
+    if (contact == HostContact::Ended)
+        watch.headIsOut = true;
+    if (contact == HostContact::Answers && !head)
+        watch.headIsLeaving = true;
+    if (contact == HostContact::Refused) {
+        watch.headRefusedSince = watch.headRefusedSince.value_or(input.now);
+        bool hasLeft = watch.headIsLeaving && !head;
+        Milliseconds limit = hasLeft ? lastWorkUnlisted : watch.headIsLeaving ? longestLastWork : suddenEnd;
+        if (input.now - *watch.headRefusedSince > limit)
+            watch.headIsOut = true;
         return;
     }
-    if (!dissolution.headMissingSince)
-        dissolution.headMissingSince = input.now;
-    if (input.now - *dissolution.headMissingSince > m_stall + silentHeadMargin)
-        dissolution.headIsOut = true;
+    watch.headRefusedSince.reset();
+    if (head) {
+        if (!hasJoined(*head, replica.name, replica.epoch))
+            watch.headIsOut = true; // It left, or joined another replica.
+        return;
+    }
+    watch.headMissingSince = watch.headMissingSince.value_or(input.now);
+    if (input.now - *watch.headMissingSince > m_stall + silentHeadMargin)
+        watch.headIsOut = true;
 }
 
 bool ReplicaPlanner::isFree(const PlannerInput& input, const Host& host) const
 {
     if (host.service != input.service.name || !isUsable(input, host.id))
         return false;
-    bool isTaken = std::ranges::any_of(m_formations,
-        [&](const Formation& formation) { return std::ranges::find(formation.members, host.id) != formation.members.end(); });
+    bool isTaken = std::ranges::any_of(m_formations, [&](const Formation& formation) {
+        return std::ranges::find(formation.members, host.id) != formation.members.end();
+    });
     if (isTaken)
         return false;
     if (!host.status.membership)
         return true;
-    auto dissolution = m_dissolutions.find({ host.status.membership->replica, host.status.membership->epoch });
-    return dissolution != m_dissolutions.end() && dissolution->second.headIsOut;
+    auto watch = m_watches.find({ host.status.membership->replica, host.status.membership->epoch });
+    return watch != m_watches.end() && watch->second.isDissolving && watch->second.headIsOut;
 }
 
 std::map<std::string, std::vector<const Host*>> ReplicaPlanner::freeHostsByDomain(const PlannerInput& input) const
@@ -226,14 +268,20 @@
     return result;
 }
 
+bool ReplicaPlanner::isDissolving(const ReplicaView& replica) const
+{
+    auto watch = m_watches.find({ replica.name, replica.epoch });
+    return watch != m_watches.end() && watch->second.isDissolving;
+}
+
 std::map<std::string, uint32_t> ReplicaPlanner::replicasByModel(const PlannerInput& input) const
 {
     std::map<std::string, uint32_t> result;
     for (const Formation& formation : m_formations)
         ++result[formation.model];
     for (const ReplicaView& replica : input.hosts.replicas()) {
-        bool serves = replica.head && replica.head->status.membership->state == MemberState::Open
-            && !m_dissolutions.contains({ replica.name, replica.epoch });
+        bool serves
+            = replica.head && replica.head->status.membership->state == MemberState::Open && !isDissolving(replica);
         bool isForming = std::ranges::any_of(
             m_formations, [&](const Formation& formation) { return formation.epoch == replica.epoch; });
         if (serves && !isForming)
@@ -256,17 +304,16 @@
 }
 
 // Members with the model staged first: a replica loads as slowly as its slowest member.
-std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
-    const std::vector<const Host*>& freeHosts, double need) const
+std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(
+    const PlannerInput& input, const ModelSpec& model, const std::vector<const Host*>& freeHosts, double need) const
 {
     if (freeHosts.size() < model.hostsPerReplica)
         return std::nullopt;
     Candidate candidate;
     candidate.model = &model;
     candidate.members = freeHosts;
-    std::ranges::stable_sort(candidate.members, [&](const Host* a, const Host* b) {
-        return isStaged(*a, model.name) > isStaged(*b, model.name);
-    });
+    std::ranges::stable_sort(candidate.members,
+        [&](const Host* a, const Host* b) { return isStaged(*a, model.name) > isStaged(*b, model.name); });
     candidate.members.resize(model.hostsPerReplica);
     candidate.isWarm = isStaged(*candidate.members.back(), model.name);
     double seconds = input.loadsAreFree ? 0 : toSeconds(candidate.isWarm ? model.warmLoad : model.load);
@@ -299,8 +346,8 @@
     auto have = replicasByModel(input);
     while (auto candidate = bestCandidate(input, have)) {
         const ModelSpec& model = *candidate->model;
-        auto cold = std::ranges::count_if(
-            candidate->members, [&](const Host* host) { return !isStaged(*host, model.name); });
+        auto cold
+            = std::ranges::count_if(candidate->members, [&](const Host* host) { return !isStaged(*host, model.name); });
         if (!takeLoads(input, static_cast<size_t>(cold)))
             return;
         Formation formation;
@@ -327,8 +374,8 @@
     bool hasLeft = result == OrderResult::Holds || result == OrderResult::Accepted || result == OrderResult::Gone;
     if (order.kind != OrderKind::Leave || !hasLeft)
         return;
-    auto found = m_dissolutions.find({ order.replica, order.epoch });
-    if (found != m_dissolutions.end() && found->second.headId == order.hostId)
+    auto found = m_watches.find({ order.replica, order.epoch });
+    if (found != m_watches.end() && found->second.headId == order.hostId)
         found->second.headIsOut = true;
 }
 
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -22,7 +22,8 @@
     Unknown, // Not asked lately.
     Answers,
     Silent, // No answer: dead, frozen or cut off.
-    Ended, // The connection is refused, or another host has the address.
+    Refused, // Nothing listens: the process has ended, or finishes its last work before it does.
+    Ended, // Another life has the address.
 };
 
 struct PlannerInput {
@@ -67,10 +68,15 @@
         std::optional<MonotonicTime> openSent;
         bool failed = false;
     };
-    struct Dissolution {
+    // A replica as long as any host says that it is a member.
+    struct Watch {
+        bool isDissolving = false;
         std::string headId;
+        std::optional<MonotonicTime> closeSent;
         std::optional<MonotonicTime> leaveSent;
-        std::optional<MonotonicTime> headMissingSince;
+        std::optional<MonotonicTime> headMissingSince; // No host says that it is the head.
+        std::optional<MonotonicTime> headRefusedSince; // Nothing listens at the head's address.
+        bool headIsLeaving = false; // By its own notice, or by living on without being listed.
         bool headIsOut = false;
     };
     using ReplicaKey = std::pair<std::string, uint64_t>;
@@ -86,13 +92,16 @@
     void abandon(const Formation&, std::vector<HostOrder>&);
     void superviseReplica(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
     void dissolve(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
-    void followMissingHead(const PlannerInput&, Dissolution&) const;
+    void followHead(const PlannerInput&, const ReplicaView&, Watch&) const;
+    void orderLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
+    bool takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
     std::optional<Candidate> bestCandidate(const PlannerInput&, const std::map<std::string, uint32_t>& have) const;
     std::optional<Candidate> candidateIn(
         const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, double need) const;
     std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
+    bool isDissolving(const ReplicaView&) const;
     std::map<std::string, uint32_t> replicasByModel(const PlannerInput&) const;
     bool takeLoads(const PlannerInput&, size_t loads);
     bool isUsable(const PlannerInput&, std::string_view hostId) const;
@@ -100,7 +109,7 @@
     uint64_t m_nextEpoch;
     Milliseconds m_stall;
     std::vector<Formation> m_formations;
-    std::map<ReplicaKey, Dissolution> m_dissolutions;
+    std::map<ReplicaKey, Watch> m_watches;
     std::set<std::string, std::less<>> m_awaited;
     double m_loadTokens = 0;
     std::optional<MonotonicTime> m_loadTokensAt;
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -98,7 +98,7 @@
         finish("answered", {});
     else
         co_await answerFailed();
-    co_return m_keepAlive && m_active->end != CallEnd::CallerLeft && m_caller.socket().is_open();
+    co_return m_keepAlive && m_active->end != CallEnd::CallerLeft&& m_caller.socket().is_open();
 }
 
 bool CallForwarder::findRoute()
@@ -429,7 +429,8 @@
         m_active->cut(CallEnd::CallerLeft);
 }
 
-HttpResponse CallForwarder::refusal(http::status status, std::string_view reason, std::optional<Milliseconds> retryAfter)
+HttpResponse CallForwarder::refusal(
+    http::status status, std::string_view reason, std::optional<Milliseconds> retryAfter)
 {
     HttpResponse response(status, 11);
     response.set(http::field::content_type, "application/json");
@@ -468,8 +469,8 @@
         co_return co_await answer(refusal(http::status::service_unavailable, "no time left, not run"));
     if (m_runs == 0)
         co_return co_await answer(refusal(http::status::service_unavailable, m_lastProblem, comeBackIn()));
-    co_await answer(refusal(timeIsUp ? http::status::gateway_timeout : http::status::bad_gateway,
-        "it may have run: " + m_lastProblem));
+    co_await answer(refusal(
+        timeIsUp ? http::status::gateway_timeout : http::status::bad_gateway, "it may have run: " + m_lastProblem));
 }
 
 void CallForwarder::finish(std::string_view outcome, std::string_view reason)
@@ -481,9 +482,10 @@
     std::string_view route = m_route ? std::string_view(m_route->name) : std::string_view("none");
     m_context.metrics.count(fmt::format("requests_total{{route=\"{}\",outcome=\"{}\"}}", route, outcome));
     m_context.metrics.observe("request_seconds", now - m_arrived);
-    nlohmann::json fields { { "id", m_call.id }, { "route", route }, { "service", m_service }, { "model", m_call.model },
-        { "outcome", outcome }, { "sends", m_sends }, { "runs", m_runs }, { "events", m_events.events() },
-        { "ms", milliseconds(now - m_arrived) }, { "config", m_routes ? m_routes->version() : 0 } };
+    nlohmann::json fields { { "id", m_call.id }, { "route", route }, { "service", m_service },
+        { "model", m_call.model }, { "outcome", outcome }, { "sends", m_sends }, { "runs", m_runs },
+        { "events", m_events.events() }, { "ms", milliseconds(now - m_arrived) },
+        { "config", m_routes ? m_routes->version() : 0 } };
     if (m_firstEventAt)
         fields["first_event_ms"] = milliseconds(*m_firstEventAt - m_arrived);
     if (!reason.empty())
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -27,7 +27,8 @@
 
     Error unreachable(const Address& peer, const beast::error_code& error)
     {
-        return { ErrorCode::Unreachable, Step::Dispatch, peer.toString(), error.message() };
+        auto code = error == asio::error::connection_refused ? ErrorCode::Refused : ErrorCode::Unreachable;
+        return { code, Step::Dispatch, peer.toString(), error.message() };
     }
 
 }
@@ -53,7 +54,8 @@
     return nullptr;
 }
 
-asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> ConnectionPool::acquire(Address peer, Milliseconds longestIdle)
+asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> ConnectionPool::acquire(
+    Address peer, Milliseconds longestIdle)
 {
     if (auto kept = takeIdle(peer, longestIdle))
         co_return std::move(kept);
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -29,13 +29,15 @@
 public:
     explicit ConnectionPool(asio::any_io_executor);
 
-    // One that lay idle for at most so long, or else a new one. Fails with Unreachable: nothing was sent.
+    // One that lay idle for at most so long, or else a new one. Fails with Unreachable, or with
+    // Refused where nothing listens: nothing was sent.
     asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> acquire(Address, Milliseconds longestIdle);
     // Takes back one that is between two answers.
     void release(std::unique_ptr<PeerConnection>);
     void closeIdle(MonotonicTime now);
 
-    // One request and its whole answer. Fails with Unreachable if nothing was sent; else the peer may have acted.
+    // One request and its whole answer. Fails with Unreachable or Refused if nothing was sent; else the peer may have
+    // acted.
     asio::awaitable<Settled<HttpResponse>> exchange(Address, HttpRequest, Milliseconds timeout, Step);
 
     uint64_t opened() const { return m_opened; }
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -19,6 +19,7 @@
     constexpr Milliseconds askSilentPeriod { 400 };
     constexpr int failuresOfSilence = 2;
     constexpr Milliseconds contactLasts { 2000 };
+    constexpr std::chrono::seconds contactKept { 30 }; // After a host was unlisted.
     // Long enough for each peer to hear of a status in some round.
     constexpr Milliseconds tellStatusFor { 1500 };
 
@@ -54,6 +55,8 @@
         m_contacts.clear();
         m_fencing = fencing;
     }
+    for (const auto& [id, host] : m_context.hosts.hosts())
+        m_addresses.insert_or_assign(id, host.address);
     std::set<std::string, std::less<>> awaited;
     for (const ServiceSpec& service : m_context.routes->config().services) {
         if (!service.servesModels())
@@ -77,8 +80,10 @@
         [this](std::string_view id) { return contact(id); }, [this](std::string_view id) { return standsStill(id); },
         !anyCallSeen };
     for (HostOrder& order : planner->plan(input)) {
-        if (const Host* host = m_context.hosts.find(order.hostId))
-            asio::co_spawn(m_context.io, send(std::move(order), host->address, service.name, fencing), asio::detached);
+        auto address = m_addresses.find(order.hostId);
+        if (address != m_addresses.end())
+            asio::co_spawn(
+                m_context.io, send(std::move(order), address->second, service.name, fencing), asio::detached);
     }
 }
 
@@ -136,7 +141,7 @@
     if (contact.hasEnded)
         return HostContact::Ended;
     if (contact.failures >= failuresOfSilence)
-        return HostContact::Silent;
+        return contact.isRefused ? HostContact::Refused : HostContact::Silent;
     bool isFresh = m_context.now() - contact.answeredAt < contactLasts;
     return isFresh && contact.failures == 0 ? HostContact::Answers : HostContact::Unknown;
 }
@@ -145,43 +150,42 @@
 {
     MonotonicTime now = m_context.now();
     std::erase_if(m_contacts, [&](const auto& entry) {
-        return !entry.second.isBusy && !m_context.hosts.find(entry.first) && now - entry.second.askedAt > std::chrono::seconds(30);
+        return !entry.second.isBusy && !m_context.hosts.find(entry.first) && now - entry.second.askedAt > contactKept;
     });
-    auto ask = [&](const Host& host, Milliseconds period) {
-        Contact& contact = m_contacts[host.id];
-        if (contact.isBusy || now - contact.askedAt < period)
+    auto ask = [&](const std::string& id, Milliseconds period) {
+        auto address = m_addresses.find(id);
+        Contact& contact = m_contacts[id];
+        if (address == m_addresses.end() || contact.isBusy || now - contact.askedAt < period)
             return;
         contact.isBusy = true;
         contact.askedAt = now;
-        asio::co_spawn(m_context.io, askStatus(host.id, host.address), asio::detached);
+        asio::co_spawn(m_context.io, askStatus(id, address->second), asio::detached);
     };
-    for (const std::string& id : awaited) {
-        if (const Host* host = m_context.hosts.find(id))
-            ask(*host, askPeriod);
-    }
+    for (const std::string& id : awaited)
+        ask(id, askPeriod);
     for (const auto& [id, host] : m_context.hosts.hosts()) {
         auto contact = m_contacts.find(id);
         if (contact != m_contacts.end() && contact->second.failures > 0)
-            ask(host, askSilentPeriod);
+            ask(id, askSilentPeriod);
     }
 }
 
 asio::awaitable<void> ControllerLoop::askStatus(std::string hostId, Address address)
 {
     m_context.metrics.count("host_status_calls_total");
-    auto answer = co_await m_context.pool.exchange(
-        address, m_context.platform.askStatus(hostId), statusTimeout, Step::Probe);
+    auto answer
+        = co_await m_context.pool.exchange(address, m_context.platform.askStatus(hostId), statusTimeout, Step::Probe);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto status = response ? m_context.platform.status(*response) : Settled<HostStatus>(std::get<Error>(answer));
     Contact& contact = m_contacts[hostId];
     contact.isBusy = false;
     if (auto* error = std::get_if<Error>(&status)) {
-        // A refused connection comes from a host whose process is gone; one that only times out says less.
-        bool isRefused = error->code == ErrorCode::Unreachable && error->detail.find("refused") != std::string::npos;
-        contact.hasEnded = contact.hasEnded || isRefused || error->code == ErrorCode::NotFound;
+        contact.isRefused = error->code == ErrorCode::Refused;
+        contact.hasEnded = contact.hasEnded || error->code == ErrorCode::NotFound;
         if (++contact.failures <= failuresOfSilence)
-            m_context.log.write("host_silent", { { "host", hostId }, { "failures", contact.failures },
-                { "ended", contact.hasEnded }, { "problem", describe(*error) } });
+            m_context.log.write("host_silent",
+                { { "host", hostId }, { "failures", contact.failures }, { "ended", contact.hasEnded },
+                    { "problem", describe(*error) } });
         co_return;
     }
     contact.failures = 0;
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -28,6 +28,7 @@
         MonotonicTime askedAt {};
         MonotonicTime answeredAt {};
         int failures = 0; // In a row.
+        bool isRefused = false; // At the latest failure.
         bool hasEnded = false;
         bool isBusy = false;
     };
@@ -48,6 +49,7 @@
     uint64_t m_fencing = 0; // Of the planners.
     std::map<std::string, std::unique_ptr<ReplicaPlanner>> m_planners; // By service.
     std::map<std::string, Contact, std::less<>> m_contacts;
+    std::map<std::string, Address, std::less<>> m_addresses; // Of hosts listed since the lease began, gone ones too.
     std::map<std::string, MonotonicTime, std::less<>> m_statusReadAt;
     std::map<std::string, double, std::less<>> m_inFlight; // By model, smoothed.
     MonotonicTime m_firstCallAt {};
--- a/src/gateway/eventlog.cpp
+++ b/src/gateway/eventlog.cpp
@@ -58,7 +58,8 @@
         return;
     }
     if (m_droppedSinceLine > 0) {
-        m_waiting += fmt::format("{{\"event\":\"lines_dropped\",\"node\":\"{}\",\"lines\":{}}}\n", m_node, m_droppedSinceLine);
+        m_waiting += fmt::format(
+            "{{\"event\":\"lines_dropped\",\"node\":\"{}\",\"lines\":{}}}\n", m_node, m_droppedSinceLine);
         m_droppedSinceLine = 0;
     }
     m_waiting += line;
@@ -74,7 +75,8 @@
         pollfd entry { m_descriptor, POLLOUT, 0 };
         if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0)
             break;
-        ssize_t count = ::write(m_descriptor, m_waiting.data() + written, std::min<size_t>(PIPE_BUF, m_waiting.size() - written));
+        ssize_t count
+            = ::write(m_descriptor, m_waiting.data() + written, std::min<size_t>(PIPE_BUF, m_waiting.size() - written));
         if (count <= 0)
             break;
         written += static_cast<size_t>(count);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,8 +32,10 @@
 
     void logConfig(GatewayContext& context, std::string_view source)
     {
-        context.log.write("config_adopted", { { "version", context.routes->version() }, { "source", source },
-            { "routes", context.routes->config().routes.size() }, { "teams", context.routes->config().teams.size() } });
+        context.log.write("config_adopted",
+            { { "version", context.routes->version() }, { "source", source },
+                { "routes", context.routes->config().routes.size() },
+                { "teams", context.routes->config().teams.size() } });
     }
 
 }
@@ -63,7 +65,8 @@
         if (auto* error = std::get_if<Error>(&port))
             return *error;
     }
-    m_context.log.write("started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
+    m_context.log.write(
+        "started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
     asio::co_spawn(m_context.io, m_configFollower.run(), asio::detached);
     asio::co_spawn(m_context.io, m_hostFollower.run(), asio::detached);
     asio::co_spawn(m_context.io, m_lease.follow(), asio::detached);
@@ -167,8 +170,9 @@
     const Host* known = m_context.hosts.find(record.key);
     auto& listed = std::get<Host>(host);
     if (!known || known->draining != listed.draining)
-        m_context.log.write("host_listed", { { "host", listed.id }, { "service", listed.service },
-            { "draining", listed.draining }, { "zone", listed.zone }, { "domain", listed.status.domain } });
+        m_context.log.write("host_listed",
+            { { "host", listed.id }, { "service", listed.service }, { "draining", listed.draining },
+                { "zone", listed.zone }, { "domain", listed.status.domain } });
     m_context.hosts.listed(std::move(listed));
 }
 
@@ -237,8 +241,7 @@
 // A replica takes requests while its head is open and every member is listed, at the same epoch, and stays.
 void Gateway::refreshTargets()
 {
-    if (!m_context.routes
-        || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
+    if (!m_context.routes || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
         return;
     m_targetsOf = m_context.hosts.version();
     m_targetsOfRoutes = m_context.routes.get();
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -28,7 +28,8 @@
 {
     timespec time {};
     clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::duration_cast<BootTime>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    return std::chrono::duration_cast<BootTime>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 ControllerLease::ControllerLease(GatewayContext& context, StoreHealth& health)
@@ -47,7 +48,8 @@
         return;
     std::string holder = entry.value("holder", "");
     if (holder != m_holder) {
-        m_context.log.write("controller", { { "holder", holder }, { "before", m_holder }, { "fencing", record.offset } });
+        m_context.log.write(
+            "controller", { { "holder", holder }, { "before", m_holder }, { "fencing", record.offset } });
         m_term = record.offset;
     }
     m_holder = holder;
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -64,9 +64,8 @@
 QuestionServer::QuestionServer(asio::io_context& io, Answer answer)
     : m_io(io)
     , m_answer(std::move(answer))
-    , m_listener(io, [this](asio::ip::tcp::socket socket) {
-        asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
-    })
+    , m_listener(
+          io, [this](asio::ip::tcp::socket socket) { asio::co_spawn(m_io, serve(std::move(socket)), asio::detached); })
 {
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -77,7 +77,8 @@
     request.body() = encode(ownDigest(peer.digest.name.empty() ? 0 : peer.digest.configVersion));
     request.prepare_payload();
     auto parsed = settle([&] { return Address::parse(address); });
-    auto answer = co_await m_context.pool.exchange(std::get<Address>(parsed), std::move(request), callTimeout, Step::Gossip);
+    auto answer
+        = co_await m_context.pool.exchange(std::get<Address>(parsed), std::move(request), callTimeout, Step::Gossip);
     auto found = m_peers.find(address);
     if (found == m_peers.end())
         co_return;
@@ -145,8 +146,9 @@
     peer.failures = 0;
     peer.digest = std::move(digest);
     if (isNews)
-        m_context.log.write("peer", { { "peer", peer.digest.name }, { "stopping", peer.digest.isStopping },
-            { "config", peer.digest.configVersion } });
+        m_context.log.write("peer",
+            { { "peer", peer.digest.name }, { "stopping", peer.digest.isStopping },
+                { "config", peer.digest.configVersion } });
     m_take(peer.digest);
     peer.digest.configText.clear();
 }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,6 +36,7 @@
 };
 
 // Reads and checks them; all faults are named at once.
-std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(std::span<const std::string> arguments, const Environment&);
+std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(
+    std::span<const std::string> arguments, const Environment&);
 
 } // namespace Kumquatpick
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -98,7 +98,8 @@
     auto answer = co_await m_context.pool.exchange(m_context.settings.store,
         m_context.platform.readLog(m_log, m_next, m_pace.wait), m_pace.wait + answerTimeout, Step::LogRead);
     auto* response = std::get_if<HttpResponse>(&answer);
-    auto page = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
+    auto page
+        = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
     if (auto* error = std::get_if<Error>(&page)) {
         m_health.failed(*error);
         co_return false;
--- a/tests/coordination/record_test.cpp
+++ b/tests/coordination/record_test.cpp
@@ -1,7 +1,7 @@
 #include "randomlog.h"
 
-#include "base/error.h"
 #include "base/base64.h"
+#include "base/error.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- /dev/null
+++ b/tests/fleet/plannerworld.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "fleet/replicaplanner.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Kumquatpick {
+
+// Hosts that obey orders at once, seen by one planner, in event time. Tests change what hosts do and what is seen.
+class PlannerWorld {
+public:
+    explicit PlannerWorld(std::vector<ModelSpec> models)
+        : planner(7, Milliseconds(6000))
+    {
+        service.name = "writers";
+        service.models = std::move(models);
+        service.timing.loadsPerSecond = 5;
+        for (const ModelSpec& model : service.models)
+            wanted[model.name] = 10;
+    }
+
+    void addHost(const std::string& id, const std::string& domain)
+    {
+        Host host;
+        host.id = id;
+        host.service = service.name;
+        host.status.domain = domain;
+        table.listed(host);
+    }
+
+    // Runs the planner until so much time has passed; each order is carried out as `obey` says.
+    void run(Milliseconds duration)
+    {
+        for (MonotonicTime end = now + duration; now < end; now += Milliseconds(100)) {
+            PlannerInput input { now, table, service, wanted,
+                [this](std::string_view id) {
+                    auto found = contacts.find(std::string(id));
+                    return found == contacts.end() ? HostContact::Answers : found->second;
+                },
+                [this](std::string_view id) { return still.contains(std::string(id)); }, true };
+            for (const HostOrder& order : planner.plan(input)) {
+                orders.push_back(order);
+                planner.orderEnded(order, obey(order), now);
+            }
+        }
+    }
+
+    OrderResult carryOut(const HostOrder& order)
+    {
+        const Host* host = table.find(order.hostId);
+        if (!host)
+            return OrderResult::Lost;
+        HostStatus status = host->status;
+        ++status.ordersAccepted;
+        bool isMember = status.membership && status.membership->isOf(order.replica, order.epoch);
+        switch (order.kind) {
+        case OrderKind::Join: {
+            auto place = std::ranges::find(order.members, order.hostId);
+            status.model = order.model;
+            status.stagedModels = { order.model };
+            status.membership = Membership { order.replica, order.epoch,
+                static_cast<uint32_t>(place - order.members.begin()), MemberState::Ready };
+            break;
+        }
+        case OrderKind::Open:
+        case OrderKind::Close:
+            if (!isMember)
+                return OrderResult::Unfit;
+            status.membership->state = order.kind == OrderKind::Open ? MemberState::Open : MemberState::Closing;
+            break;
+        case OrderKind::Leave:
+            if (isMember)
+                status.membership.reset();
+            break;
+        }
+        table.reported(order.hostId, status);
+        return OrderResult::Holds;
+    }
+
+    std::vector<HostOrder> ordersTo(const std::string& id, OrderKind kind) const
+    {
+        std::vector<HostOrder> result;
+        std::ranges::copy_if(orders, std::back_inserter(result),
+            [&](const HostOrder& order) { return order.hostId == id && order.kind == kind; });
+        return result;
+    }
+
+    std::vector<ReplicaView> openReplicas() const
+    {
+        std::vector<ReplicaView> result = table.replicas();
+        std::erase_if(result, [](const ReplicaView& replica) {
+            return !replica.head || replica.head->status.membership->state != MemberState::Open;
+        });
+        return result;
+    }
+
+    ServiceSpec service;
+    HostTable table;
+    ReplicaPlanner planner;
+    std::map<std::string, double, std::less<>> wanted;
+    std::map<std::string, HostContact> contacts;
+    std::set<std::string> still;
+    std::function<OrderResult(const HostOrder&)> obey = [this](const HostOrder& order) { return carryOut(order); };
+    std::vector<HostOrder> orders;
+    MonotonicTime now { std::chrono::hours(1) };
+};
+
+inline ModelSpec modelOf(std::string name, uint32_t hosts)
+{
+    ModelSpec model;
+    model.name = std::move(name);
+    model.hostsPerReplica = hosts;
+    model.load = Milliseconds(16'000);
+    model.warmLoad = Milliseconds(1600);
+    return model;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -0,0 +1,150 @@
+#include "fleet/replicaplanner.h"
+
+#include "fleet/plannerworld.h"
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    PlannerWorld pairOfHosts() { return PlannerWorld({ modelOf("small", 2) }); }
+
+    // Two hosts serve; `spare` is free, so that either of them could join a replica with it.
+    std::unique_ptr<PlannerWorld> servingPair()
+    {
+        auto world = std::make_unique<PlannerWorld>(std::vector<ModelSpec> { modelOf("small", 2) });
+        world->addHost("a", "d1");
+        world->addHost("b", "d1");
+        world->run(Milliseconds(1000));
+        world->addHost("spare", "d1");
+        return world;
+    }
+
+    std::string headOf(const PlannerWorld& world) { return world.openReplicas().at(0).head->id; }
+    std::string memberOf(const PlannerWorld& world) { return headOf(world) == "a" ? "b" : "a"; }
+
+}
+
+TEST(ReplicaPlanner, FormsAndOpensReplicasInsideDomains)
+{
+    PlannerWorld world({ modelOf("large", 4), modelOf("small", 2) });
+    for (int i = 0; i < 10; ++i)
+        world.addHost("host-" + std::to_string(i), i < 5 ? "d1" : "d2");
+    world.run(Milliseconds(2000));
+    EXPECT_EQ(world.openReplicas().size(), 3u) << "one of four hosts, then two of two in the other domain";
+    for (const ReplicaView& replica : world.openReplicas()) {
+        for (const Host* member : replica.members)
+            EXPECT_EQ(member->status.domain, replica.head->status.domain);
+    }
+}
+
+TEST(ReplicaPlanner, OpensOnlyOnceEveryMemberIsReady)
+{
+    PlannerWorld world = pairOfHosts();
+    world.addHost("a", "d1");
+    world.addHost("b", "d1");
+    world.obey = [&](const HostOrder& order) {
+        return order.kind == OrderKind::Join && order.hostId == "b" ? OrderResult::Lost : world.carryOut(order);
+    };
+    world.run(Milliseconds(3000));
+    EXPECT_TRUE(world.ordersTo("a", OrderKind::Open).empty());
+    EXPECT_TRUE(world.ordersTo("b", OrderKind::Open).empty());
+    EXPECT_GT(world.ordersTo("b", OrderKind::Join).size(), 1u) << "a join without an answer is repeated";
+}
+
+TEST(ReplicaPlanner, TakesTheHeadOutBeforeItsMembersMove)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    std::string member = memberOf(*world);
+    world->still.insert(head);
+    world->contacts[member] = HostContact::Silent;
+    world->orders.clear();
+    world->run(Milliseconds(500));
+    ASSERT_FALSE(world->orders.empty());
+    EXPECT_EQ(world->orders.front().kind, OrderKind::Leave);
+    EXPECT_EQ(world->orders.front().hostId, head);
+    world->run(Milliseconds(1000));
+    EXPECT_FALSE(world->ordersTo(head, OrderKind::Join).empty()) << "the survivor joins the spare host";
+}
+
+// A head that drains stops listening, then finishes what it has: its members are not free before it has ended.
+TEST(ReplicaPlanner, KeepsMembersOfADrainingHeadThatStoppedListening)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    std::string member = memberOf(*world);
+    Host draining = *world->table.find(head);
+    draining.draining = true;
+    world->table.listed(draining);
+    world->contacts[head] = HostContact::Refused;
+    world->still.insert(head);
+    world->orders.clear();
+    world->run(Milliseconds(5000));
+    EXPECT_TRUE(world->ordersTo(member, OrderKind::Join).empty());
+    world->table.unlisted(head);
+    world->run(Milliseconds(2000));
+    EXPECT_FALSE(world->ordersTo(member, OrderKind::Join).empty()) << "its entry goes when it has ended";
+}
+
+TEST(ReplicaPlanner, FreesMembersOfACrashedHeadSoon)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    std::string member = memberOf(*world);
+    world->contacts[head] = HostContact::Refused;
+    world->orders.clear();
+    world->run(Milliseconds(1000));
+    EXPECT_TRUE(world->ordersTo(member, OrderKind::Join).empty()) << "a notice of leaving may be on its way";
+    world->run(Milliseconds(1500));
+    EXPECT_FALSE(world->ordersTo(member, OrderKind::Join).empty());
+}
+
+// A silent head may be alive and open behind a partition; it gives up by itself after the stall time.
+TEST(ReplicaPlanner, WaitsForASilentHeadToGiveUp)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    std::string member = memberOf(*world);
+    world->still.insert(head);
+    world->contacts[head] = HostContact::Silent;
+    world->obey
+        = [&](const HostOrder& order) { return order.hostId == head ? OrderResult::Lost : world->carryOut(order); };
+    world->run(Milliseconds(1000));
+    world->table.unlisted(head);
+    world->orders.clear();
+    world->run(Milliseconds(6000));
+    EXPECT_TRUE(world->ordersTo(member, OrderKind::Join).empty());
+    world->run(Milliseconds(2000));
+    EXPECT_FALSE(world->ordersTo(member, OrderKind::Join).empty());
+}
+
+TEST(ReplicaPlanner, ClosesAReplicaWhoseMemberLeavesAndLetsItFinish)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    Host leaving = *world->table.find(memberOf(*world));
+    leaving.draining = true;
+    world->table.listed(leaving);
+    world->orders.clear();
+    world->run(Milliseconds(3000));
+    EXPECT_EQ(world->ordersTo(head, OrderKind::Close).size(), 1u);
+    EXPECT_TRUE(world->ordersTo(head, OrderKind::Leave).empty()) << "it still finishes what it has";
+}
+
+TEST(ReplicaPlanner, LaterControllersUseHigherEpochs)
+{
+    PlannerWorld world = pairOfHosts();
+    world.addHost("a", "d1");
+    world.addHost("b", "d1");
+    world.run(Milliseconds(1000));
+    uint64_t epoch = world.openReplicas().at(0).epoch;
+    PlannerWorld later = pairOfHosts();
+    later.planner = ReplicaPlanner(8, Milliseconds(6000));
+    later.addHost("a", "d1");
+    later.addHost("b", "d1");
+    later.run(Milliseconds(1000));
+    EXPECT_GT(later.openReplicas().at(0).epoch, epoch);
+}
+
+} // namespace Kumquatpick
