Plan loads by the weight store's places: few at a time, survivors kept for the model they hold

Ruled out: slow detection (0.9 s). Change: at most as many loads as the store takes at full rate, cheapest replicas by need first, hosts kept for a model in twice the need.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -25,6 +25,7 @@
     double perSequenceMs = 0; // Added to a step by each writing request.
     double promptTokensPerSecond = 0;
     double loadsPerSecond = 0; // Loads that may begin, over all hosts.
+    uint32_t concurrentLoads = 1; // More share the weight store's rate, so each of them takes longer.
     uint32_t usualPromptTokens = 0;
     uint32_t usualAnswerTokens = 0;
 };
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -23,8 +23,10 @@
     constexpr int longestLoads = 4;
     constexpr Milliseconds formationMargin { 10'000 };
 
-    // A replica is worth less the longer it takes to serve: at this load time half as much.
+    // A replica is worth less the more of the weight store's time it takes: with this much of it, half.
     constexpr double halfValueLoadSeconds = 10;
+    constexpr double mostSpoilt = 3; // Loads that a host staged for another model may count as, on top of its own.
+    constexpr double keptForNeed = 0.5; // Of the greatest need.
     constexpr double loadBurst = 5;
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
@@ -290,6 +292,20 @@
     return result;
 }
 
+ReplicaPlanner::Summary ReplicaPlanner::summary(const PlannerInput& input) const
+{
+    Summary summary;
+    for (const Formation& formation : m_formations)
+        ++summary.forming[formation.model];
+    for (const auto& [model, count] : replicasByModel(input))
+        summary.open[model] = count - summary.forming[model];
+    summary.dissolving = static_cast<size_t>(std::ranges::count_if(
+        m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
+    for (const auto& [domain, hosts] : freeHostsByDomain(input))
+        summary.freeHosts += hosts.size();
+    return summary;
+}
+
 bool ReplicaPlanner::takeLoads(const PlannerInput& input, size_t loads)
 {
     if (input.loadsAreFree || loads == 0)
@@ -303,38 +319,79 @@
     return true;
 }
 
-// Members with the model staged first: a replica loads as slowly as its slowest member.
-std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(
-    const PlannerInput& input, const ModelSpec& model, const std::vector<const Host*>& freeHosts, double need) const
+// How full a model's replicas would be with one more: what the next one is worth.
+ReplicaPlanner::Needs ReplicaPlanner::needs(const PlannerInput& input) const
+{
+    auto have = replicasByModel(input);
+    Needs result;
+    for (const ModelSpec& model : input.service.models) {
+        auto wanted = input.wanted.find(model.name);
+        result[model.name] = wanted == input.wanted.end() ? 0 : wanted->second / (1 + have[model.name]);
+    }
+    return result;
+}
+
+uint32_t ReplicaPlanner::loadsInProgress(const PlannerInput& input) const
+{
+    uint32_t count = 0;
+    for (const Formation& formation : m_formations) {
+        count += static_cast<uint32_t>(std::ranges::count_if(formation.coldMembers, [&](const std::string& id) {
+            const Host* host = input.hosts.find(id);
+            bool isLoaded = host && hasJoined(*host, formation.replica, formation.epoch)
+                && host->status.membership->state != MemberState::Joining;
+            return !isLoaded;
+        }));
+    }
+    return count;
+}
+
+// The weight store is what is short once traffic runs: hosts are lost faster than it fills new ones. So the members
+// with the model staged come first, then those with nothing staged; one that is staged for another model costs that
+// model a load too, as far as it is needed.
+std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
+    const std::vector<const Host*>& freeHosts, const Needs& needs) const
 {
-    if (freeHosts.size() < model.hostsPerReplica)
+    double need = needs.at(model.name);
+    if (freeHosts.size() < model.hostsPerReplica || need <= 0)
         return std::nullopt;
+    auto cost = [&](const Host* host) {
+        if (isStaged(*host, model.name))
+            return 0.0;
+        double spoilt = 0;
+        for (const std::string& other : host->status.stagedModels) {
+            auto otherNeed = needs.find(other);
+            spoilt += otherNeed == needs.end() ? 0 : std::min(mostSpoilt, otherNeed->second / need);
+        }
+        return 1 + spoilt;
+    };
     Candidate candidate;
     candidate.model = &model;
     candidate.members = freeHosts;
-    std::ranges::stable_sort(candidate.members,
-        [&](const Host* a, const Host* b) { return isStaged(*a, model.name) > isStaged(*b, model.name); });
+    std::ranges::stable_sort(candidate.members, {}, cost);
     candidate.members.resize(model.hostsPerReplica);
-    candidate.isWarm = isStaged(*candidate.members.back(), model.name);
-    double seconds = input.loadsAreFree ? 0 : toSeconds(candidate.isWarm ? model.warmLoad : model.load);
-    candidate.value = need / (1 + seconds / halfValueLoadSeconds);
+    double costs = 0;
+    for (const Host* host : candidate.members) {
+        costs += cost(host);
+        candidate.loads += isStaged(*host, model.name) ? 0 : 1;
+    }
+    double seconds = input.loadsAreFree ? 0 : toSeconds(model.load);
+    candidate.value = need / (1 + costs * seconds / halfValueLoadSeconds);
     return candidate;
 }
 
 std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::bestCandidate(
-    const PlannerInput& input, const std::map<std::string, uint32_t>& have) const
+    const PlannerInput& input, const Needs& needs) const
 {
+    double greatestNeed = 0;
+    for (const auto& [model, need] : needs)
+        greatestNeed = std::max(greatestNeed, need);
     std::optional<Candidate> best;
-    auto domains = freeHostsByDomain(input);
-    for (const ModelSpec& model : input.service.models) {
-        auto wanted = input.wanted.find(model.name);
-        auto present = have.find(model.name);
-        // How full the replicas would be with one more: what the next one is worth.
-        double need = wanted == input.wanted.end() ? 0 : wanted->second;
-        need /= 1 + (present == have.end() ? 0 : present->second);
-        for (const auto& [domain, hosts] : domains) {
-            auto candidate = candidateIn(input, model, hosts, need);
-            if (candidate && (!best || candidate->value > best->value))
+    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
+        for (const ModelSpec& model : input.service.models) {
+            auto candidate = candidateIn(input, model, hosts, needs);
+            // Hosts that a model in far greater need could soon use with some more are kept for it.
+            bool isKept = candidate && candidate->loads > 0 && needs.at(model.name) < keptForNeed * greatestNeed;
+            if (candidate && !isKept && (!best || candidate->value > best->value))
                 best = std::move(candidate);
         }
     }
@@ -343,21 +400,23 @@
 
 void ReplicaPlanner::formReplicas(const PlannerInput& input, std::vector<HostOrder>& orders)
 {
-    auto have = replicasByModel(input);
-    while (auto candidate = bestCandidate(input, have)) {
+    while (auto candidate = bestCandidate(input, needs(input))) {
         const ModelSpec& model = *candidate->model;
-        auto cold
-            = std::ranges::count_if(candidate->members, [&](const Host* host) { return !isStaged(*host, model.name); });
-        if (!takeLoads(input, static_cast<size_t>(cold)))
+        // More loads at once take longer each; the last replica may go over, as a place left empty loads nothing.
+        bool hasRoom = input.loadsAreFree || candidate->loads == 0
+            || loadsInProgress(input) < input.service.timing.concurrentLoads;
+        if (!hasRoom || !takeLoads(input, candidate->loads))
             return;
         Formation formation;
         formation.epoch = m_nextEpoch++;
         formation.replica = fmt::format("replica-{}", formation.epoch);
         formation.model = model.name;
         formation.begun = input.now;
-        for (const Host* host : candidate->members)
+        for (const Host* host : candidate->members) {
             formation.members.push_back(host->id);
-        ++have[model.name];
+            if (!isStaged(*host, model.name))
+                formation.coldMembers.push_back(host->id);
+        }
         m_formations.push_back(std::move(formation));
         orderJoins(input, m_formations.back(), orders);
         for (const std::string& id : m_formations.back().members)
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -53,9 +53,17 @@
     std::vector<HostOrder> plan(const PlannerInput&);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
+    // For logs and metrics: what the last plan() saw.
+    struct Summary {
+        std::map<std::string, uint32_t> open; // Replicas by model.
+        std::map<std::string, uint32_t> forming;
+        size_t dissolving = 0;
+        size_t freeHosts = 0;
+    };
+    Summary summary(const PlannerInput&) const;
+
     // Hosts whose own reports the next decisions wait for.
     std::set<std::string, std::less<>> awaited() const { return m_awaited; }
-    size_t formationsInProgress() const { return m_formations.size(); }
 
 private:
     struct Formation {
@@ -64,6 +72,7 @@
         std::string model;
         std::vector<std::string> members;
         MonotonicTime begun;
+        std::vector<std::string> coldMembers; // Those that load from the weight store.
         std::map<std::string, MonotonicTime, std::less<>> joinSent;
         std::optional<MonotonicTime> openSent;
         bool failed = false;
@@ -83,7 +92,7 @@
     struct Candidate {
         const ModelSpec* model = nullptr;
         std::vector<const Host*> members;
-        bool isWarm = false;
+        uint32_t loads = 0; // Members that must load from the weight store.
         double value = 0;
     };
 
@@ -96,9 +105,12 @@
     void orderLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
     bool takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
-    std::optional<Candidate> bestCandidate(const PlannerInput&, const std::map<std::string, uint32_t>& have) const;
+    using Needs = std::map<std::string, double, std::less<>>; // By model.
+    Needs needs(const PlannerInput&) const;
+    std::optional<Candidate> bestCandidate(const PlannerInput&, const Needs&) const;
     std::optional<Candidate> candidateIn(
-        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, double need) const;
+        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const Needs&) const;
+    uint32_t loadsInProgress(const PlannerInput&) const;
     std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
     bool isDissolving(const ReplicaView&) const;
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 100 };
+    constexpr std::chrono::seconds summaryPeriod { 1 };
     // Hosts answer these without a slot, within a round trip.
     constexpr Milliseconds statusTimeout { 250 };
     constexpr Milliseconds orderTimeout { 600 };
@@ -79,7 +80,16 @@
     PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
         [this](std::string_view id) { return contact(id); }, [this](std::string_view id) { return standsStill(id); },
         !anyCallSeen };
-    for (HostOrder& order : planner->plan(input)) {
+    auto orders = planner->plan(input);
+    if (input.now - m_summaryAt >= summaryPeriod) {
+        m_summaryAt = input.now;
+        auto summary = planner->summary(input);
+        m_context.log.write("replicas",
+            { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
+                { "wanted", wanted }, { "in_flight", m_inFlight }, { "dissolving", summary.dissolving },
+                { "free_hosts", summary.freeHosts } });
+    }
+    for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
         if (address != m_addresses.end())
             asio::co_spawn(
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -52,7 +52,7 @@
     std::map<std::string, Address, std::less<>> m_addresses; // Of hosts listed since the lease began, gone ones too.
     std::map<std::string, MonotonicTime, std::less<>> m_statusReadAt;
     std::map<std::string, double, std::less<>> m_inFlight; // By model, smoothed.
-    MonotonicTime m_firstCallAt {};
+    MonotonicTime m_summaryAt {};
 };
 
 } // namespace Kumquatpick
