Make each fabric domain home to one model and stage its spare hosts

Cause: replicas of both models shared each domain, so the large model, which a lost host breaks twice as often, never found four free hosts in one domain again: 3 of 7 were left after 8 s, 1 after 20 s, while 8 to 13 hosts stood free. Ruled out: slow orders (a warm join takes 1.6 s). Change: domains are shared out between models by wanted hosts; hosts left over in a domain load its model beforehand, which is free before the first request.

--- a/src/fleet/hostorder.h
+++ b/src/fleet/hostorder.h
@@ -11,6 +11,7 @@
     Open, // To a head: take requests.
     Close, // To a head: finish what runs, refuse the rest.
     Leave, // End the membership at once.
+    Stage, // Load a copy of a model onto the host, beside whatever it does.
 };
 
 // What the controller tells one host to do.
@@ -19,7 +20,7 @@
     std::string hostId;
     std::string replica;
     uint64_t epoch = 0;
-    std::string model; // Of Join.
+    std::string model; // Of Join and Stage.
     std::vector<std::string> members; // Of Join; the head first.
 };
 
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -26,7 +26,14 @@
     // A replica is worth less the more of the weight store's time it takes: with this much of it, half.
     constexpr double halfValueLoadSeconds = 10;
     constexpr double mostSpoilt = 3; // Loads that a host staged for another model may count as, on top of its own.
-    constexpr double keptForNeed = 0.5; // Of the greatest need.
+    // A domain that holds one model's replicas can rebuild one from its spares and survivors in a warm load's time; a
+    // replica of another model there takes hosts from these. So it is formed only where that model is clearly short.
+    constexpr double leastNeedAwayFromHome = 1.3;
+    constexpr double valueAwayFromHome = 0.35;
+    constexpr Milliseconds longestStaging { 60'000 };
+    // At the very start hosts appear in the list one by one; where each model is at home is settled once they have.
+    constexpr Milliseconds settledAfter { 600 };
+    constexpr Milliseconds longestSettling { 2500 };
     constexpr double loadBurst = 5;
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
@@ -45,7 +52,7 @@
 
 const char* name(OrderKind kind)
 {
-    constexpr const char* names[] = { "join", "open", "close", "leave" };
+    constexpr const char* names[] = { "join", "open", "close", "leave", "stage" };
     return names[static_cast<size_t>(kind)];
 }
 
@@ -333,7 +340,7 @@
 
 uint32_t ReplicaPlanner::loadsInProgress(const PlannerInput& input) const
 {
-    uint32_t count = 0;
+    auto count = static_cast<uint32_t>(m_stagings.size());
     for (const Formation& formation : m_formations) {
         count += static_cast<uint32_t>(std::ranges::count_if(formation.coldMembers, [&](const std::string& id) {
             const Host* host = input.hosts.find(id);
@@ -355,7 +362,7 @@
     if (freeHosts.size() < model.hostsPerReplica || need <= 0)
         return std::nullopt;
     auto cost = [&](const Host* host) {
-        if (isStaged(*host, model.name))
+        if (isStagedOrStaging(*host, model.name))
             return 0.0;
         double spoilt = 0;
         for (const std::string& other : host->status.stagedModels) {
@@ -372,7 +379,7 @@
     double costs = 0;
     for (const Host* host : candidate.members) {
         costs += cost(host);
-        candidate.loads += isStaged(*host, model.name) ? 0 : 1;
+        candidate.loads += isStagedOrStaging(*host, model.name) ? 0 : 1;
     }
     double seconds = input.loadsAreFree ? 0 : toSeconds(model.load);
     candidate.value = need / (1 + costs * seconds / halfValueLoadSeconds);
@@ -382,24 +389,75 @@
 std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::bestCandidate(
     const PlannerInput& input, const Needs& needs) const
 {
-    double greatestNeed = 0;
-    for (const auto& [model, need] : needs)
-        greatestNeed = std::max(greatestNeed, need);
     std::optional<Candidate> best;
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         for (const ModelSpec& model : input.service.models) {
             auto candidate = candidateIn(input, model, hosts, needs);
-            // Hosts that a model in far greater need could soon use with some more are kept for it.
-            bool isKept = candidate && candidate->loads > 0 && needs.at(model.name) < keptForNeed * greatestNeed;
-            if (candidate && !isKept && (!best || candidate->value > best->value))
+            if (!candidate)
+                continue;
+            if (m_homes.homeOf(domain) != model.name) {
+                if (needs.at(model.name) < leastNeedAwayFromHome)
+                    continue;
+                candidate->value *= valueAwayFromHome;
+            }
+            if (!best || candidate->value > best->value)
                 best = std::move(candidate);
         }
     }
     return best;
 }
 
+bool ReplicaPlanner::isStagedOrStaging(const Host& host, std::string_view model) const
+{
+    auto staging = m_stagings.find(host.id);
+    return isStaged(host, model) || (staging != m_stagings.end() && staging->second.model == model);
+}
+
+bool ReplicaPlanner::hasSettled(const PlannerInput& input)
+{
+    size_t count = input.hosts.hosts().size();
+    if (count != m_hostCount) {
+        m_hostCount = count;
+        m_countSince = input.now;
+    }
+    m_firstSeen = m_firstSeen.value_or(input.now);
+    return !input.loadsAreFree || input.now - m_countSince >= settledAfter
+        || input.now - *m_firstSeen >= longestSettling;
+}
+
+// Spare hosts load the model that their domain is home to while the weight store has nothing better to do: a replica
+// that loses a member is then whole again after a warm load.
+void ReplicaPlanner::stageSpares(const PlannerInput& input, std::vector<HostOrder>& orders)
+{
+    std::erase_if(m_stagings, [&](const auto& entry) {
+        const Host* host = input.hosts.find(entry.first);
+        return !host || isStaged(*host, entry.second.model) || input.now - entry.second.begun > longestStaging;
+    });
+    for (const auto& [id, staging] : m_stagings)
+        m_awaited.insert(id);
+    auto need = needs(input);
+    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
+        std::string_view home = m_homes.homeOf(domain);
+        for (const Host* host : hosts) {
+            bool isNeededElsewhere = std::ranges::any_of(host->status.stagedModels, [&](const std::string& model) {
+                return need.contains(model) && need[model] >= need[std::string(home)];
+            });
+            if (home.empty() || isStagedOrStaging(*host, home) || isNeededElsewhere)
+                continue;
+            bool hasRoom = input.loadsAreFree || loadsInProgress(input) < input.service.timing.concurrentLoads;
+            if (!hasRoom || !takeLoads(input, 1))
+                return;
+            m_stagings[host->id] = { std::string(home), input.now };
+            orders.push_back({ OrderKind::Stage, host->id, {}, 0, std::string(home), {} });
+        }
+    }
+}
+
 void ReplicaPlanner::formReplicas(const PlannerInput& input, std::vector<HostOrder>& orders)
 {
+    if (!hasSettled(input))
+        return;
+    m_homes.assign(input.hosts, input.service, input.wanted);
     while (auto candidate = bestCandidate(input, needs(input))) {
         const ModelSpec& model = *candidate->model;
         // More loads at once take longer each; the last replica may go over, as a place left empty loads nothing.
@@ -414,7 +472,7 @@
         formation.begun = input.now;
         for (const Host* host : candidate->members) {
             formation.members.push_back(host->id);
-            if (!isStaged(*host, model.name))
+            if (!isStagedOrStaging(*host, model.name))
                 formation.coldMembers.push_back(host->id);
         }
         m_formations.push_back(std::move(formation));
@@ -422,10 +480,13 @@
         for (const std::string& id : m_formations.back().members)
             m_awaited.insert(id);
     }
+    stageSpares(input, orders);
 }
 
 void ReplicaPlanner::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime)
 {
+    if (order.kind == OrderKind::Stage && (result == OrderResult::Unfit || result == OrderResult::Gone))
+        m_stagings.erase(order.hostId);
     if (order.kind == OrderKind::Join && (result == OrderResult::Unfit || result == OrderResult::Gone)) {
         for (Formation& formation : m_formations)
             formation.failed = formation.failed || formation.epoch == order.epoch;
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "fleet/config.h"
+#include "fleet/domainhomes.h"
 #include "fleet/hostorder.h"
 #include "fleet/hosttable.h"
 
@@ -89,6 +90,10 @@
         bool headIsOut = false;
     };
     using ReplicaKey = std::pair<std::string, uint64_t>;
+    struct Staging {
+        std::string model;
+        MonotonicTime begun;
+    };
     struct Candidate {
         const ModelSpec* model = nullptr;
         std::vector<const Host*> members;
@@ -111,6 +116,9 @@
     std::optional<Candidate> candidateIn(
         const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const Needs&) const;
     uint32_t loadsInProgress(const PlannerInput&) const;
+    void stageSpares(const PlannerInput&, std::vector<HostOrder>&);
+    bool hasSettled(const PlannerInput&);
+    bool isStagedOrStaging(const Host&, std::string_view model) const;
     std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
     bool isDissolving(const ReplicaView&) const;
@@ -122,7 +130,12 @@
     Milliseconds m_stall;
     std::vector<Formation> m_formations;
     std::map<ReplicaKey, Watch> m_watches;
+    std::map<std::string, Staging, std::less<>> m_stagings; // By host.
+    DomainHomes m_homes;
     std::set<std::string, std::less<>> m_awaited;
+    std::optional<MonotonicTime> m_firstSeen; // Of any host; and since when their number stays the same.
+    MonotonicTime m_countSince {};
+    size_t m_hostCount = 0;
     double m_loadTokens = 0;
     std::optional<MonotonicTime> m_loadTokensAt;
 };
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -20,6 +20,7 @@
         service.name = "writers";
         service.models = std::move(models);
         service.timing.loadsPerSecond = 5;
+        service.timing.concurrentLoads = 7;
         for (const ModelSpec& model : service.models)
             wanted[model.name] = 10;
     }
@@ -42,7 +43,7 @@
                     auto found = contacts.find(std::string(id));
                     return found == contacts.end() ? HostContact::Answers : found->second;
                 },
-                [this](std::string_view id) { return still.contains(std::string(id)); }, true };
+                [this](std::string_view id) { return still.contains(std::string(id)); }, loadsAreFree };
             for (const HostOrder& order : planner.plan(input)) {
                 orders.push_back(order);
                 planner.orderEnded(order, obey(order), now);
@@ -73,6 +74,9 @@
                 return OrderResult::Unfit;
             status.membership->state = order.kind == OrderKind::Open ? MemberState::Open : MemberState::Closing;
             break;
+        case OrderKind::Stage:
+            status.stagedModels = { order.model };
+            break;
         case OrderKind::Leave:
             if (isMember)
                 status.membership.reset();
@@ -105,6 +109,7 @@
     std::map<std::string, double, std::less<>> wanted;
     std::map<std::string, HostContact> contacts;
     std::set<std::string> still;
+    bool loadsAreFree = true;
     std::function<OrderResult(const HostOrder&)> obey = [this](const HostOrder& order) { return carryOut(order); };
     std::vector<HostOrder> orders;
     MonotonicTime now { std::chrono::hours(1) };
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -132,6 +132,54 @@
     EXPECT_TRUE(world->ordersTo(head, OrderKind::Leave).empty()) << "it still finishes what it has";
 }
 
+// Ten hosts of a domain hold two replicas of four and two spares, which are staged: what two lost members leave over
+// is whole again without a load.
+TEST(ReplicaPlanner, RebuildsFromStagedSpares)
+{
+    PlannerWorld world({ modelOf("large", 4), modelOf("small", 2) });
+    world.wanted = { { "large", 2 }, { "small", 4 } };
+    for (int i = 0; i < 20; ++i)
+        world.addHost("host-" + std::to_string(i), i < 10 ? "d1" : "d2");
+    world.run(Milliseconds(2000));
+    auto replicas = world.openReplicas();
+    auto large = std::ranges::find(replicas, std::string("large"), &ReplicaView::model);
+    ASSERT_NE(large, replicas.end());
+    EXPECT_EQ(std::ranges::count(replicas, std::string("large"), &ReplicaView::model), 2);
+    world.loadsAreFree = false;
+    world.orders.clear();
+    for (const Host* lost : { large->members[1], large->members[2] }) {
+        std::string id = lost->id;
+        world.contacts[id] = HostContact::Silent;
+        world.still.insert(large->head->id);
+    }
+    world.run(Milliseconds(1500));
+    std::vector<HostOrder> joins;
+    std::ranges::copy_if(world.orders, std::back_inserter(joins),
+        [](const HostOrder& order) { return order.kind == OrderKind::Join && order.model == "large"; });
+    ASSERT_EQ(joins.size(), 4u);
+    EXPECT_EQ(std::ranges::count(world.openReplicas(), std::string("large"), &ReplicaView::model), 2);
+}
+
+// The weight store shares its rate: with more loads at once than it takes, none is done soon.
+TEST(ReplicaPlanner, BeginsNoMoreLoadsThanTheWeightStoreTakes)
+{
+    PlannerWorld world({ modelOf("small", 2) });
+    world.loadsAreFree = false;
+    world.service.timing.concurrentLoads = 4;
+    world.obey = [&](const HostOrder& order) {
+        return order.kind == OrderKind::Join ? OrderResult::Accepted : world.carryOut(order);
+    };
+    for (int i = 0; i < 20; ++i)
+        world.addHost("host-" + std::to_string(i), "d1");
+    world.run(Milliseconds(5000));
+    std::set<std::string> joined;
+    for (const HostOrder& order : world.orders) {
+        if (order.kind == OrderKind::Join)
+            joined.insert(order.hostId);
+    }
+    EXPECT_EQ(joined.size(), 4u);
+}
+
 TEST(ReplicaPlanner, LaterControllersUseHigherEpochs)
 {
     PlannerWorld world = pairOfHosts();
