Let members leave a head that nobody reaches, and tell a host's lives and reports apart

Change: other nodes are asked to reach a silent host; where none does, each surviving member is told to leave before it may join elsewhere. Also found there: the list's sequence counts heartbeats, not orders; a host that restarts shares its earlier life's address, and late heartbeats bring the earlier entry back.

--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -33,7 +33,7 @@
 
 // What changes while a host lives, from its list entry or from its own report.
 struct HostStatus {
-    uint64_t ordersAccepted = 0; // Grows; tells which of two statuses is newer.
+    uint64_t ordersAccepted = 0; // In this life; only in a host's own report.
     std::string model; // Of its membership.
     std::vector<std::string> stagedModels; // Copies on the host, loaded in the model's warmLoad.
     std::optional<Membership> membership;
@@ -48,6 +48,8 @@
     std::string zone;
     uint32_t capacity = 1;
     bool draining = false;
+    uint64_t listOffset
+        = 0; // Of its latest entry in the list's log; of two lives at one address the later has the higher.
     HostStatus status;
 };
 
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -1,31 +1,50 @@
 #include "fleet/hosttable.h"
 
+#include <algorithm>
+
 namespace Kumquatpick {
 
-// Between two orders a membership only moves forward through its states, but for a finished close, which goes back
-// to ready.
-bool isNewer(const HostStatus& candidate, const HostStatus& known)
-{
-    if (candidate.ordersAccepted != known.ordersAccepted)
-        return candidate.ordersAccepted > known.ordersAccepted;
-    if (!candidate.membership || !known.membership)
-        return true;
-    if (candidate.membership->epoch != known.membership->epoch)
-        return candidate.membership->epoch > known.membership->epoch;
-    if (known.membership->state == MemberState::Closing)
-        return true;
-    return candidate.membership->state >= known.membership->state;
+namespace {
+
+    // The list shows a change within its own lag of up to 0.8 s, and it is read every 0.4 s.
+    constexpr Milliseconds listLag { 1300 };
+    constexpr Milliseconds reportLasts { 2500 };
+
+    uint64_t epochOf(const HostStatus& status) { return status.membership ? status.membership->epoch : 0; }
+
 }
 
-void HostTable::listed(Host host)
+void HostTable::listed(Host host, MonotonicTime at)
 {
     ++m_version;
-    auto [place, fresh] = m_hosts.try_emplace(host.id, host);
-    if (fresh)
+    m_firstSeen.try_emplace(host.id, m_firstSeen.size());
+    if (!m_hosts.contains(host.id) && !dropEarlierLife(host))
         return;
-    HostStatus newest = isNewer(host.status, place->second.status) ? host.status : std::move(place->second.status);
-    place->second = std::move(host);
-    place->second.status = std::move(newest);
+    Sources& sources = m_sources[host.id];
+    sources.listed = host.status;
+    sources.listedAt = at;
+    // Within one life epochs only grow, so an earlier one is from before the report whatever its time.
+    bool isOutrun = sources.reported
+        && (at < sources.reportedAt + listLag
+            || (host.status.membership && epochOf(host.status) < epochOf(*sources.reported)));
+    if (isOutrun)
+        host.status = *sources.reported;
+    else
+        sources.reported.reset();
+    m_hosts.insert_or_assign(host.id, host);
+}
+
+// A host that starts again has the address of its earlier life, whose entry only goes some seconds later; a late
+// heartbeat may even bring it back. False if it is this one that is the earlier.
+bool HostTable::dropEarlierLife(const Host& host)
+{
+    auto other = std::ranges::find_if(m_hosts, [&](const auto& entry) { return entry.second.address == host.address; });
+    if (other == m_hosts.end())
+        return true;
+    if (m_firstSeen.at(other->first) > m_firstSeen.at(host.id))
+        return false;
+    unlisted(std::string(other->first));
+    return true;
 }
 
 void HostTable::unlisted(std::string_view id)
@@ -35,19 +54,40 @@
         return;
     ++m_version;
     m_hosts.erase(found);
+    m_sources.erase(m_sources.find(id));
 }
 
-void HostTable::reported(std::string_view id, HostStatus status)
+void HostTable::reported(std::string_view id, HostStatus status, MonotonicTime at)
 {
     auto found = m_hosts.find(id);
-    if (found == m_hosts.end() || !isNewer(status, found->second.status))
+    if (found == m_hosts.end())
+        return;
+    Sources& sources = m_sources.find(id)->second;
+    bool isLate
+        = sources.reported && (at <= sources.reportedAt || status.ordersAccepted < sources.reported->ordersAccepted);
+    if (isLate)
         return;
     ++m_version;
     if (status.domain.empty())
         status.domain = found->second.status.domain;
+    sources.reported = status;
+    sources.reportedAt = at;
     found->second.status = std::move(status);
 }
 
+void HostTable::expireReports(MonotonicTime now)
+{
+    for (auto& [id, sources] : m_sources) {
+        bool isDue = sources.reported && now - sources.reportedAt > reportLasts && sources.listedAt > sources.reportedAt
+            && (!sources.listed.membership || epochOf(sources.listed) >= epochOf(*sources.reported));
+        if (!isDue)
+            continue;
+        ++m_version;
+        sources.reported.reset();
+        m_hosts.find(id)->second.status = sources.listed;
+    }
+}
+
 const Host* HostTable::find(std::string_view id) const
 {
     auto found = m_hosts.find(id);
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -20,15 +20,17 @@
     std::vector<const Host*> members; // The head included.
 };
 
-// What is known of the backend servers: the list's entries, overtaken by what hosts report themselves.
+// What is known of the backend servers. Their list comes late; a host's own report overtakes it until the list had
+// time to follow.
 class HostTable {
 public:
-    // A list entry; keeps a newer status that the host reported itself.
-    void listed(Host);
+    void listed(Host, MonotonicTime at);
     // The list dropped the entry.
     void unlisted(std::string_view id);
-    // A report of the host itself; ignored for hosts that are not listed or if it is older than what is known.
-    void reported(std::string_view id, HostStatus);
+    // A report of the host itself; ignored for hosts that are not listed or if a later one is known.
+    void reported(std::string_view id, HostStatus, MonotonicTime at);
+    // Lets the list decide again about hosts that did not report lately.
+    void expireReports(MonotonicTime now);
 
     const Host* find(std::string_view id) const;
     const std::map<std::string, Host, std::less<>>& hosts() const { return m_hosts; }
@@ -37,11 +39,19 @@
     uint64_t version() const { return m_version; }
 
 private:
-    std::map<std::string, Host, std::less<>> m_hosts;
+    struct Sources {
+        HostStatus listed;
+        MonotonicTime listedAt {};
+        std::optional<HostStatus> reported;
+        MonotonicTime reportedAt {};
+    };
+
+    bool dropEarlierLife(const Host&);
+
+    std::map<std::string, Host, std::less<>> m_hosts; // With the status that counts.
+    std::map<std::string, Sources, std::less<>> m_sources;
+    std::map<std::string, uint64_t, std::less<>> m_firstSeen; // In which order lives appeared; small, and kept.
     uint64_t m_version = 0;
 };
 
-// Whether a status replaces another one of the same host.
-bool isNewer(const HostStatus& candidate, const HostStatus& known);
-
 } // namespace Kumquatpick
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -11,14 +11,11 @@
 
     // An order is answered within a round trip; one that is not is sent again, as repeating it is harmless.
     constexpr Milliseconds orderRepeat { 700 };
-    // A head that is silent may still serve, until its replica gives up for want of a member; on top of that time,
-    // for reports that are late.
-    constexpr Milliseconds silentHeadMargin { 500 };
     // A host that leaves finishes what its replica has, for as long as engines allow at most; its entry goes when it
     // has ended. One that ends without notice is not heard of again, and a notice would show within this time.
     constexpr Milliseconds longestLastWork { 10'500 };
     constexpr Milliseconds lastWorkUnlisted { 300 };
-    constexpr Milliseconds suddenEnd { 1500 };
+    constexpr Milliseconds suddenEnd { 600 };
     // Loads share the weight store: one may take several times its own time.
     constexpr int longestLoads = 4;
     constexpr Milliseconds formationMargin { 10'000 };
@@ -38,6 +35,8 @@
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
+    bool isSilent(HostContact contact) { return contact == HostContact::Silent || contact == HostContact::SilentToAll; }
+
     bool isStaged(const Host& host, std::string_view model)
     {
         return std::ranges::find(host.status.stagedModels, model) != host.status.stagedModels.end();
@@ -62,9 +61,8 @@
     return names[static_cast<size_t>(result)];
 }
 
-ReplicaPlanner::ReplicaPlanner(uint64_t fencing, Milliseconds stall)
+ReplicaPlanner::ReplicaPlanner(uint64_t fencing)
     : m_nextEpoch((fencing + 1) * epochsPerLease)
-    , m_stall(stall)
 {
 }
 
@@ -165,7 +163,6 @@
     if (replica.head) {
         watch.headId = replica.head->id;
         watch.headIsLeaving = watch.headIsLeaving || replica.head->draining;
-        watch.headMissingSince.reset();
     }
     if (watch.isDissolving || !replica.head || !isTakingRequests(replica.head->status.membership->state))
         return dissolve(input, replica, orders);
@@ -180,7 +177,7 @@
         if (isDoubted)
             m_awaited.insert(member->id);
         bool isLost = contact == HostContact::Ended || (contact == HostContact::Refused && !member->draining);
-        hasLost = hasLost || isLost || (isDoubted && contact == HostContact::Silent);
+        hasLost = hasLost || isLost || (isDoubted && isSilent(contact));
         isLeaving = isLeaving || member->draining;
     }
     if (hasLost)
@@ -207,8 +204,27 @@
         return;
     if (!watch.headId.empty())
         m_awaited.insert(watch.headId);
-    followHead(input, replica, watch);
-    orderLeave(input, replica, watch, orders);
+    switch (followHead(input, replica, watch)) {
+    case HeadFate::MayServe:
+        return orderLeave(input, replica, watch, orders);
+    case HeadFate::Lost:
+        return orderMembersLeave(input, replica, watch, orders);
+    case HeadFate::Out:
+        watch.headIsOut = true;
+        return;
+    }
+}
+
+void ReplicaPlanner::orderMembersLeave(
+    const PlannerInput& input, const ReplicaView& replica, Watch& watch, std::vector<HostOrder>& orders)
+{
+    for (const Host* member : replica.members) {
+        if (member->id == watch.headId || !isUsable(input, member->id))
+            continue;
+        m_awaited.insert(member->id);
+        if (takeOrderTurn(watch.memberLeaveSent[member->id], input.now))
+            orders.push_back({ OrderKind::Leave, member->id, replica.name, replica.epoch, {}, {} });
+    }
 }
 
 // To a head that is listed, or that lives on without being listed, as far as it takes orders.
@@ -223,33 +239,32 @@
         orders.push_back({ OrderKind::Leave, watch.headId, replica.name, replica.epoch, {}, {} });
 }
 
-// Whether the head can still serve its replica, as far as can be told without its own word. A head that leaves stops
-// listening first and ends only after its last request: that nothing listens tells of an end only if it was sudden.
-void ReplicaPlanner::followHead(const PlannerInput& input, const ReplicaView& replica, Watch& watch) const
+// Whether the head can still serve its replica, as far as can be told.
+ReplicaPlanner::HeadFate ReplicaPlanner::followHead(
+    const PlannerInput& input, const ReplicaView& replica, Watch& watch) const
 {
     const Host* head = input.hosts.find(watch.headId);
-    HostContact contact = watch.headId.empty() ? HostContact::Unknown : input.contact(watch.headId);
-    if (contact == HostContact::Ended)
-        watch.headIsOut = true;
+    HostContact contact = watch.headId.empty() ? HostContact::SilentToAll : input.contact(watch.headId);
+    bool hasLeft = head && !hasJoined(*head, replica.name, replica.epoch);
+    if (watch.headIsOut || hasLeft || contact == HostContact::Ended)
+        return HeadFate::Out;
     if (contact == HostContact::Answers && !head)
         watch.headIsLeaving = true;
-    if (contact == HostContact::Refused) {
-        watch.headRefusedSince = watch.headRefusedSince.value_or(input.now);
-        bool hasLeft = watch.headIsLeaving && !head;
-        Milliseconds limit = hasLeft ? lastWorkUnlisted : watch.headIsLeaving ? longestLastWork : suddenEnd;
-        if (input.now - *watch.headRefusedSince > limit)
-            watch.headIsOut = true;
-        return;
-    }
-    watch.headRefusedSince.reset();
-    if (head) {
-        if (!hasJoined(*head, replica.name, replica.epoch))
-            watch.headIsOut = true; // It left, or joined another replica.
-        return;
-    }
-    watch.headMissingSince = watch.headMissingSince.value_or(input.now);
-    if (input.now - *watch.headMissingSince > m_stall + silentHeadMargin)
-        watch.headIsOut = true;
+    if (contact != HostContact::Refused)
+        watch.headRefusedSince.reset();
+    if (contact == HostContact::Refused)
+        return hasFinished(input, watch, head) ? HeadFate::Lost : HeadFate::MayServe;
+    return contact == HostContact::SilentToAll ? HeadFate::Lost : HeadFate::MayServe;
+}
+
+// A head that leaves stops listening first and ends only after its last request: that nothing listens tells of an end
+// only if it was sudden.
+bool ReplicaPlanner::hasFinished(const PlannerInput& input, Watch& watch, const Host* head) const
+{
+    watch.headRefusedSince = watch.headRefusedSince.value_or(input.now);
+    bool isUnlisted = watch.headIsLeaving && !head;
+    Milliseconds limit = isUnlisted ? lastWorkUnlisted : watch.headIsLeaving ? longestLastWork : suddenEnd;
+    return input.now - *watch.headRefusedSince > limit;
 }
 
 bool ReplicaPlanner::isFree(const PlannerInput& input, const Host& host) const
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -23,6 +23,7 @@
     Unknown, // Not asked lately.
     Answers,
     Silent, // No answer: dead, frozen or cut off.
+    SilentToAll, // No answer to any node.
     Refused, // Nothing listens: the process has ended, or finishes its last work before it does.
     Ended, // Another life has the address.
 };
@@ -43,13 +44,12 @@
 // only what it began itself; a successor rebuilds the rest from what the hosts report. Not thread-safe.
 //
 // A host joins another replica only once the head of its old one can't take requests any more, as a head does not
-// notice that its members are gone: the head is told to leave first, and the others wait for its word, for the end
-// of its life, or, where it is silent, for the time after which a head that stands still gives up by itself.
+// notice that its members are gone: the head is told to leave first, and the others are free by its word or by the end
+// of its life. Where no node reaches the head, dead or cut off, each of its members is told to leave instead.
 class ReplicaPlanner {
 public:
     // fencing: of the controller's lease; later controllers have higher ones, so their epochs are higher too.
-    // stall: after which a replica that lost a member gives up by itself.
-    ReplicaPlanner(uint64_t fencing, Milliseconds stall);
+    explicit ReplicaPlanner(uint64_t fencing);
 
     std::vector<HostOrder> plan(const PlannerInput&);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
@@ -84,10 +84,15 @@
         std::string headId;
         std::optional<MonotonicTime> closeSent;
         std::optional<MonotonicTime> leaveSent;
-        std::optional<MonotonicTime> headMissingSince; // No host says that it is the head.
         std::optional<MonotonicTime> headRefusedSince; // Nothing listens at the head's address.
         bool headIsLeaving = false; // By its own notice, or by living on without being listed.
-        bool headIsOut = false;
+        bool headIsOut = false; // It said so itself, or its life is over.
+        std::map<std::string, std::optional<MonotonicTime>, std::less<>> memberLeaveSent;
+    };
+    enum class HeadFate : uint8_t {
+        MayServe,
+        Lost, // Or finished; its members may leave it.
+        Out, // Its members are free.
     };
     using ReplicaKey = std::pair<std::string, uint64_t>;
     struct Staging {
@@ -106,8 +111,10 @@
     void abandon(const Formation&, std::vector<HostOrder>&);
     void superviseReplica(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
     void dissolve(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
-    void followHead(const PlannerInput&, const ReplicaView&, Watch&) const;
+    HeadFate followHead(const PlannerInput&, const ReplicaView&, Watch&) const;
+    bool hasFinished(const PlannerInput&, Watch&, const Host* head) const;
     void orderLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
+    void orderMembersLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
     bool takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
     using Needs = std::map<std::string, double, std::less<>>; // By model.
@@ -127,7 +134,6 @@
     bool isUsable(const PlannerInput&, std::string_view hostId) const;
 
     uint64_t m_nextEpoch;
-    Milliseconds m_stall;
     std::vector<Formation> m_formations;
     std::map<ReplicaKey, Watch> m_watches;
     std::map<std::string, Staging, std::less<>> m_stagings; // By host.
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -59,6 +59,10 @@
     bool isStopping = false;
     bool hostsListed = false; // The list of backend servers was read once.
 
+    // Addresses of hosts, also of those that were listed a while ago.
+    std::map<Address, MonotonicTime> hostAddresses;
+    bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
+
     MonotonicTime now() const { return monotonicNow(); }
     double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
 };
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -19,6 +19,7 @@
     constexpr Milliseconds askPeriod { 180 };
     constexpr Milliseconds askSilentPeriod { 400 };
     constexpr int failuresOfSilence = 2;
+    constexpr size_t peersAsked = 3; // One after the other, each time that a host is silent.
     constexpr Milliseconds contactLasts { 2000 };
     constexpr std::chrono::seconds contactKept { 30 }; // After a host was unlisted.
     // Long enough for each peer to hear of a status in some round.
@@ -73,7 +74,7 @@
 {
     auto& planner = m_planners[service.name];
     if (!planner)
-        planner = std::make_unique<ReplicaPlanner>(fencing, m_context.settings.replicaStall);
+        planner = std::make_unique<ReplicaPlanner>(fencing);
     auto wanted = wantedReplicas(service);
     bool anyCallSeen = m_context.anyCallSeen;
     m_peers.forEachAlive([&](const PeerDigest& digest) { anyCallSeen = anyCallSeen || digest.anyCallSeen; });
@@ -150,8 +151,10 @@
     const Contact& contact = found->second;
     if (contact.hasEnded)
         return HostContact::Ended;
+    if (contact.failures >= failuresOfSilence && contact.isRefused)
+        return HostContact::Refused;
     if (contact.failures >= failuresOfSilence)
-        return contact.isRefused ? HostContact::Refused : HostContact::Silent;
+        return isSilentToAll(contact) ? HostContact::SilentToAll : HostContact::Silent;
     bool isFresh = m_context.now() - contact.answeredAt < contactLasts;
     return isFresh && contact.failures == 0 ? HostContact::Answers : HostContact::Unknown;
 }
@@ -185,30 +188,81 @@
     m_context.metrics.count("host_status_calls_total");
     auto answer
         = co_await m_context.pool.exchange(address, m_context.platform.askStatus(hostId), statusTimeout, Step::Probe);
+    bool isSilent = std::holds_alternative<Error>(answer) && std::get<Error>(answer).code != ErrorCode::Refused;
+    m_contacts[hostId].isRefused = !isSilent && std::holds_alternative<Error>(answer);
+    if (!isSilent)
+        m_contacts[hostId].via.clear();
+    else if (m_contacts[hostId].failures > 0)
+        answer = co_await askThroughPeers(hostId, address);
     auto* response = std::get_if<HttpResponse>(&answer);
-    auto status = response ? m_context.platform.status(*response) : Settled<HostStatus>(std::get<Error>(answer));
+    auto status
+        = response ? m_context.platform.status(hostId, *response) : Settled<HostStatus>(std::get<Error>(answer));
     Contact& contact = m_contacts[hostId];
     contact.isBusy = false;
-    if (auto* error = std::get_if<Error>(&status)) {
-        contact.isRefused = error->code == ErrorCode::Refused;
-        contact.hasEnded = contact.hasEnded || error->code == ErrorCode::NotFound;
-        if (++contact.failures <= failuresOfSilence)
-            m_context.log.write("host_silent",
-                { { "host", hostId }, { "failures", contact.failures }, { "ended", contact.hasEnded },
-                    { "problem", describe(*error) } });
-        co_return;
-    }
+    if (auto* error = std::get_if<Error>(&status))
+        co_return noteFailure(hostId, *error);
     contact.failures = 0;
+    contact.peersFailed.clear();
     contact.answeredAt = m_context.now();
     m_statusReadAt[hostId] = contact.answeredAt;
-    m_context.hosts.reported(hostId, std::move(std::get<HostStatus>(status)));
+    m_context.hosts.reported(hostId, std::move(std::get<HostStatus>(status)), contact.answeredAt);
+}
+
+void ControllerLoop::noteFailure(const std::string& hostId, const Error& error)
+{
+    Contact& contact = m_contacts[hostId];
+    contact.hasEnded = contact.hasEnded || error.code == ErrorCode::NotFound;
+    if (++contact.failures <= failuresOfSilence)
+        m_context.log.write("host_silent",
+            { { "host", hostId }, { "failures", contact.failures }, { "ended", contact.hasEnded },
+                { "problem", describe(error) } });
+}
+
+// A partition may cut a host off from some nodes only. The peer that reached it last goes first.
+asio::awaitable<Settled<HttpResponse>> ControllerLoop::askThroughPeers(std::string hostId, Address address)
+{
+    std::vector<std::string> peers = m_peers.aliveAddresses();
+    std::ranges::shuffle(peers, m_context.random);
+    std::ranges::stable_partition(peers, [&](const std::string& peer) { return peer == m_contacts[hostId].via; });
+    std::ranges::stable_partition(
+        peers, [&](const std::string& peer) { return !m_contacts[hostId].peersFailed.contains(peer); });
+    peers.resize(std::min(peers.size(), peersAsked));
+    Settled<HttpResponse> answer = Error { ErrorCode::Unreachable, Step::Probe, hostId, "no peer to ask" };
+    for (const std::string& peer : peers) {
+        answer = co_await m_peers.relay(peer, address, m_context.platform.askStatus(hostId));
+        Contact& contact = m_contacts[hostId];
+        if (std::holds_alternative<HttpResponse>(answer)) {
+            contact.via = peer;
+            co_return answer;
+        }
+        if (std::get<Error>(answer).code != ErrorCode::Malformed)
+            contact.peersFailed.insert(peer);
+    }
+    m_contacts[hostId].via.clear();
+    co_return answer;
+}
+
+bool ControllerLoop::isSilentToAll(const Contact& contact) const
+{
+    return contact.failures >= failuresOfSilence
+        && std::ranges::all_of(
+            m_peers.aliveAddresses(), [&](const std::string& peer) { return contact.peersFailed.contains(peer); });
+}
+
+asio::awaitable<Settled<HttpResponse>> ControllerLoop::callHost(
+    std::string hostId, Address address, HttpRequest request, Milliseconds timeout, Step step)
+{
+    auto contact = m_contacts.find(hostId);
+    if (contact != m_contacts.end() && !contact->second.via.empty())
+        co_return co_await m_peers.relay(contact->second.via, address, std::move(request));
+    co_return co_await m_context.pool.exchange(address, std::move(request), timeout, step);
 }
 
 asio::awaitable<void> ControllerLoop::send(HostOrder order, Address address, std::string service, uint64_t fencing)
 {
     m_context.metrics.count("orders_total");
-    auto answer = co_await m_context.pool.exchange(
-        address, m_context.platform.order(order, fencing), orderTimeout, Step::Order);
+    auto answer
+        = co_await callHost(order.hostId, address, m_context.platform.order(order, fencing), orderTimeout, Step::Order);
     auto* response = std::get_if<HttpResponse>(&answer);
     OrderResult result = response ? m_context.platform.orderResult(*response) : OrderResult::Lost;
     nlohmann::json fields { { "order", name(order.kind) }, { "host", order.hostId }, { "replica", order.replica },
@@ -232,7 +286,7 @@
     for (const auto& [id, readAt] : m_statusReadAt) {
         const Host* host = m_context.hosts.find(id);
         if (host && now - readAt < tellStatusFor)
-            result.push_back({ id, host->status });
+            result.push_back({ id, host->status, std::chrono::floor<Milliseconds>(now - readAt) });
     }
     return result;
 }
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -31,6 +31,8 @@
         bool isRefused = false; // At the latest failure.
         bool hasEnded = false;
         bool isBusy = false;
+        std::string via; // A peer that reaches the host while this node does not.
+        std::set<std::string> peersFailed; // Peers that did not reach it since anybody did.
     };
 
     void tick(uint64_t fencing);
@@ -41,6 +43,10 @@
     HostContact contact(std::string_view hostId) const;
     void askAwaited(const std::set<std::string, std::less<>>& awaited);
     asio::awaitable<void> askStatus(std::string hostId, Address);
+    asio::awaitable<Settled<HttpResponse>> askThroughPeers(std::string hostId, Address);
+    asio::awaitable<Settled<HttpResponse>> callHost(std::string hostId, Address, HttpRequest, Milliseconds, Step);
+    void noteFailure(const std::string& hostId, const Error&);
+    bool isSilentToAll(const Contact&) const;
     asio::awaitable<void> send(HostOrder, Address, std::string service, uint64_t fencing);
 
     GatewayContext& m_context;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 
     constexpr Milliseconds keepUpPeriod { 50 };
     constexpr int slowTicks = 20; // Of that period, for what is done once a second.
+    constexpr std::chrono::seconds addressesKept { 60 };
     constexpr Milliseconds tellStandingStillFor { 700 };
     constexpr Milliseconds avoidOnHearsay { 800 };
     // A refused call would have held its place for about as long as a usual answer takes.
@@ -86,7 +87,7 @@
 
 bool Gateway::isReady() const { return m_context.routes && m_context.hostsListed && !m_context.isStopping; }
 
-HttpResponse Gateway::answerReadiness(const HttpRequest& request) const
+asio::awaitable<HttpResponse> Gateway::answerReadiness(const HttpRequest& request) const
 {
     std::string_view target = toView(request.target());
     HttpResponse response(http::status::not_found, 11);
@@ -97,27 +98,27 @@
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_context.metrics.prometheusText();
     }
-    return response;
+    co_return response;
 }
 
-HttpResponse Gateway::answerEntries(const HttpRequest& request)
+asio::awaitable<HttpResponse> Gateway::answerEntries(const HttpRequest& request)
 {
     HttpResponse response(http::status::not_found, 11);
     auto question = m_context.platform.entriesQuestion(toView(request.target()));
     if (!question)
-        return response;
+        co_return response;
     std::vector<std::string> addresses = m_peers.callerAddresses({});
     if (isReady())
         addresses.push_back(m_context.settings.callers.toString());
     std::ranges::shuffle(addresses, m_context.random);
     if (addresses.empty()) {
         response.result(http::status::service_unavailable);
-        return response;
+        co_return response;
     }
     response.result(http::status::ok);
     response.set(http::field::content_type, "application/json");
     response.body() = m_context.platform.entriesAnswer(addresses, m_context.settings.entriesLifetime);
-    return response;
+    co_return response;
 }
 
 void Gateway::adoptConfig(std::string_view text, std::string_view source)
@@ -173,7 +174,7 @@
         m_context.log.write("host_listed",
             { { "host", listed.id }, { "service", listed.service }, { "draining", listed.draining },
                 { "zone", listed.zone }, { "domain", listed.status.domain } });
-    m_context.hosts.listed(std::move(listed));
+    m_context.hosts.listed(std::move(listed), m_context.now());
 }
 
 void Gateway::dropUnlistedHosts()
@@ -206,7 +207,7 @@
     if (!digest.configText.empty())
         adoptConfig(digest.configText, digest.name);
     for (const ReportedStatus& reported : digest.reported)
-        m_context.hosts.reported(reported.hostId, reported.status);
+        m_context.hosts.reported(reported.hostId, reported.status, m_context.now() - reported.age);
     for (const std::string& id : digest.standingStill)
         m_context.balancer.suspect(id, m_context.now() + avoidOnHearsay);
 }
@@ -214,6 +215,7 @@
 asio::awaitable<void> Gateway::keepUp()
 {
     for (int tick = 0;; ++tick) {
+        m_context.hosts.expireReports(m_context.now());
         refreshOthersInFlight();
         refreshTargets();
         cutStandingStill();
@@ -221,6 +223,7 @@
         m_context.log.flush();
         if (tick % slowTicks == 0) {
             m_context.pool.closeIdle(m_context.now());
+            rememberAddresses();
             m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
             m_sessions.remove_if([](const auto& session) { return session.expired(); });
         }
@@ -265,6 +268,14 @@
     m_context.balancer.setTargets(std::move(targets));
 }
 
+void Gateway::rememberAddresses()
+{
+    MonotonicTime now = m_context.now();
+    for (const auto& [id, host] : m_context.hosts.hosts())
+        m_context.hostAddresses.insert_or_assign(host.address, now);
+    std::erase_if(m_context.hostAddresses, [&](const auto& entry) { return now - entry.second > addressesKept; });
+}
+
 // All streams of a replica that lost a member stop at once; they go on elsewhere rather than wait for it to break.
 void Gateway::cutStandingStill()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,8 +26,8 @@
 
 private:
     void acceptCaller(asio::ip::tcp::socket);
-    HttpResponse answerReadiness(const HttpRequest&) const;
-    HttpResponse answerEntries(const HttpRequest&);
+    asio::awaitable<HttpResponse> answerReadiness(const HttpRequest&) const;
+    asio::awaitable<HttpResponse> answerEntries(const HttpRequest&);
     bool isReady() const;
 
     void adoptConfig(std::string_view text, std::string_view source);
@@ -41,6 +41,7 @@
 
     asio::awaitable<void> keepUp();
     void refreshTargets();
+    void rememberAddresses();
     void refreshOthersInFlight();
     void cutStandingStill();
     void updateDemand();
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -81,7 +81,7 @@
         if (readError)
             co_return;
         bool keepAlive = parser.keep_alive();
-        HttpResponse response = m_answer(parser.get());
+        HttpResponse response = co_await m_answer(parser.get());
         response.keep_alive(keepAlive);
         response.prepare_payload();
         auto [writeError, written] = co_await http::async_write(stream, response, asTuple);
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -28,10 +28,10 @@
     Accept m_accept;
 };
 
-// Answers short questions of other programs, each from what the node has in memory.
+// Answers short questions of other programs.
 class QuestionServer {
 public:
-    using Answer = std::function<HttpResponse(const HttpRequest&)>;
+    using Answer = std::function<asio::awaitable<HttpResponse>(const HttpRequest&)>;
 
     QuestionServer(asio::io_context&, Answer);
     Settled<uint16_t> start(const Address& address) { return m_listener.start(address); }
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -12,7 +12,7 @@
     {
         json result { { "host", reported.hostId }, { "orders", reported.status.ordersAccepted },
             { "model", reported.status.model }, { "staged", reported.status.stagedModels },
-            { "domain", reported.status.domain } };
+            { "domain", reported.status.domain }, { "age_ms", reported.age.count() } };
         if (const auto& membership = reported.status.membership) {
             result["replica"] = membership->replica;
             result["epoch"] = membership->epoch;
@@ -30,6 +30,7 @@
         reported.status.model = entry.at("model").get<std::string>();
         reported.status.stagedModels = entry.at("staged").get<std::vector<std::string>>();
         reported.status.domain = entry.at("domain").get<std::string>();
+        reported.age = Milliseconds(entry.at("age_ms").get<int64_t>());
         if (entry.contains("replica")) {
             int state = std::clamp(entry.at("state").get<int>(), 0, static_cast<int>(MemberState::Broken));
             reported.status.membership = Membership { entry["replica"].get<std::string>(),
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -15,6 +15,7 @@
 struct ReportedStatus {
     std::string hostId;
     HostStatus status;
+    Milliseconds age {}; // Since it was read.
 };
 
 // What a node tells the others of itself, some times a second.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers.h"
 
 #include "gateway/asio.h"
+#include "gateway/relay.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,6 +21,8 @@
     constexpr int triesBeforeSlow = 4;
     constexpr Milliseconds slowPeriod { 1500 };
     constexpr int triesBeforeForgotten = 40;
+    constexpr const char* relayTarget = "/relay";
+    constexpr Milliseconds relayedTimeout { 400 };
 
 }
 
@@ -93,7 +96,50 @@
     take(std::move(*digest));
 }
 
-HttpResponse Peers::answer(const HttpRequest& request)
+asio::awaitable<HttpResponse> Peers::answer(const HttpRequest& request)
+{
+    if (request.target() == relayTarget)
+        co_return co_await answerRelayed(request);
+    co_return answerDigest(request);
+}
+
+asio::awaitable<HttpResponse> Peers::answerRelayed(const HttpRequest& request)
+{
+    auto call = decodeRelayedCall(request.body());
+    // Only to hosts of the list: a peer's port is no way into other networks.
+    if (!call || !m_context.isHostAddress(call->host))
+        co_return HttpResponse(http::status::bad_request, 11);
+    auto answer = co_await m_context.pool.exchange(call->host, std::move(call->request), relayedTimeout, Step::Probe);
+    HttpResponse response(http::status::ok, 11);
+    response.body() = encode(answer);
+    co_return response;
+}
+
+asio::awaitable<Settled<HttpResponse>> Peers::relay(std::string peer, Address host, HttpRequest call)
+{
+    auto parsed = settle([&] { return Address::parse(peer); });
+    HttpRequest request(http::verb::post, relayTarget, 11);
+    request.body() = encode(RelayedCall { std::move(host), std::move(call) });
+    request.prepare_payload();
+    auto answer = co_await m_context.pool.exchange(
+        std::get<Address>(parsed), std::move(request), relayedTimeout * 2, Step::Gossip);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    if (!response || response->result() != http::status::ok)
+        co_return Error { ErrorCode::Malformed, Step::Gossip, peer, "the peer did not relay the call" };
+    co_return decodeRelayedAnswer(response->body());
+}
+
+std::vector<std::string> Peers::aliveAddresses() const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, peer] : m_peers) {
+        if (isAlive(peer))
+            result.push_back(address);
+    }
+    return result;
+}
+
+HttpResponse Peers::answerDigest(const HttpRequest& request)
 {
     auto digest = decodeDigest(request.body());
     if (!digest) {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,8 +21,11 @@
     asio::awaitable<void> run();
     // Tells every peer now, for what must not wait for the next round.
     void tellAll();
-    // A digest that came in, and the answer to it.
-    HttpResponse answer(const HttpRequest&);
+    // A digest or a call to be relayed that came in, and the answer to it.
+    asio::awaitable<HttpResponse> answer(const HttpRequest&);
+    // Has a peer make a call to a backend server. Fails with Malformed if the peer itself gave no answer.
+    asio::awaitable<Settled<HttpResponse>> relay(std::string peer, Address host, HttpRequest);
+    std::vector<std::string> aliveAddresses() const;
 
     // Addresses where other nodes that are alive and take requests do so.
     std::vector<std::string> callerAddresses(std::string_view zone) const;
@@ -50,6 +53,8 @@
     PeerDigest ownDigest(uint64_t configOfReader);
     void take(PeerDigest);
     asio::awaitable<void> call(std::string address);
+    HttpResponse answerDigest(const HttpRequest&);
+    asio::awaitable<HttpResponse> answerRelayed(const HttpRequest&);
 
     GatewayContext& m_context;
     FillDigest m_fill;
--- a/src/gateway/platform.h
+++ b/src/gateway/platform.h
@@ -72,7 +72,7 @@
     virtual OrderResult orderResult(const HttpResponse&) const = 0;
     virtual HttpRequest askStatus(std::string_view hostId) const = 0;
     // Fails with NotFound if another life answers at the address.
-    virtual Settled<HostStatus> status(const HttpResponse&) const = 0;
+    virtual Settled<HostStatus> status(std::string_view hostId, const HttpResponse&) const = 0;
 
     // Callers' requests.
     virtual Settled<Call> call(const RequestHead&) const = 0;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -25,7 +25,6 @@
 
     Milliseconds stopGrace { 8000 }; // From SIGTERM until the process is killed.
     Milliseconds entriesLifetime { 1000 }; // How long callers may use an answer.
-    Milliseconds replicaStall { 6000 }; // After which a replica that lost a member gives up by itself.
     std::string retryRatio = "0.2"; // Of first sends; decimal.
     std::chrono::seconds retryWindow { 10 };
     uint64_t retryAllowance = 100; // On top, for the whole fleet, in each window.
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -82,6 +82,7 @@
         std::ranges::move(found.records, std::back_inserter(records));
     }
     m_health.answered();
+    std::ranges::sort(records, {}, &LogRecord::offset);
     m_handlers.beginListing();
     for (const LogRecord& record : records)
         m_handlers.record(record);
--- /dev/null
+++ b/tests/fleet/hosttable_test.cpp
@@ -0,0 +1,119 @@
+#include "fleet/hosttable.h"
+
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+
+    HostStatus memberOf(uint64_t epoch, MemberState state, uint64_t orders = 0)
+    {
+        HostStatus status;
+        status.ordersAccepted = orders;
+        status.domain = "d1";
+        status.membership = Membership { "replica-" + std::to_string(epoch), epoch, 0, state };
+        return status;
+    }
+
+    Host hostWith(HostStatus status)
+    {
+        Host host;
+        host.id = "a";
+        host.service = "writers";
+        host.status = std::move(status);
+        return host;
+    }
+
+    uint64_t epochOfA(const HostTable& table) { return table.find("a")->status.membership->epoch; }
+
+}
+
+// The list is behind: what it shows just after a report is from before it.
+TEST(HostTable, KeepsAReportThatTheListHasNotCaughtUpWith)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    table.reported("a", memberOf(2, MemberState::Joining, 3), start + Milliseconds(100));
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(400));
+    EXPECT_EQ(epochOfA(table), 2u);
+}
+
+TEST(HostTable, TakesTheListOnceItHadTimeToFollow)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    table.reported("a", memberOf(2, MemberState::Joining, 3), start + Milliseconds(100));
+    table.listed(hostWith(memberOf(2, MemberState::Ready)), start + Milliseconds(1600));
+    EXPECT_EQ(table.find("a")->status.membership->state, MemberState::Ready);
+}
+
+// Epochs only grow within a life, whatever the delay of the list.
+TEST(HostTable, NeverGoesBackToAnEarlierEpoch)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    table.reported("a", memberOf(2, MemberState::Joining, 3), start + Milliseconds(100));
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(5000));
+    table.expireReports(start + Milliseconds(9000));
+    EXPECT_EQ(epochOfA(table), 2u);
+}
+
+TEST(HostTable, ComesBackToTheListWhenReportsStop)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    table.reported("a", memberOf(2, MemberState::Joining, 3), start + Milliseconds(100));
+    table.listed(hostWith(memberOf(3, MemberState::Joining)), start + Milliseconds(900));
+    EXPECT_EQ(epochOfA(table), 2u);
+    table.expireReports(start + Milliseconds(2700));
+    EXPECT_EQ(epochOfA(table), 3u);
+}
+
+TEST(HostTable, IgnoresALateReport)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    table.reported("a", memberOf(3, MemberState::Joining, 5), start + Milliseconds(100));
+    table.reported("a", memberOf(2, MemberState::Open, 4), start + Milliseconds(200));
+    table.reported("a", memberOf(2, MemberState::Open, 6), start + Milliseconds(50));
+    EXPECT_EQ(epochOfA(table), 3u);
+}
+
+// The entry of the earlier life goes only some seconds after the host has started again.
+TEST(HostTable, DropsTheEarlierLifeAtAnAddress)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    Host later = hostWith({});
+    later.id = "a-again";
+    table.listed(later, start + Milliseconds(100));
+    EXPECT_EQ(table.find("a"), nullptr);
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(200));
+    EXPECT_EQ(table.find("a"), nullptr) << "a late heartbeat";
+    table.unlisted("a");
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(9000));
+    EXPECT_NE(table.find("a-again"), nullptr);
+    EXPECT_NE(table.find("a-again"), nullptr);
+}
+
+TEST(HostTable, GathersTheMembersOfAReplica)
+{
+    HostTable table;
+    Host head = hostWith(memberOf(1, MemberState::Open));
+    Host member = hostWith(memberOf(1, MemberState::Ready));
+    member.id = "b";
+    member.address.port = 2;
+    member.status.membership->rank = 1;
+    table.listed(head, start);
+    table.listed(member, start);
+    auto replicas = table.replicas();
+    ASSERT_EQ(replicas.size(), 1u);
+    EXPECT_EQ(replicas[0].head->id, "a");
+    EXPECT_EQ(replicas[0].members.size(), 2u);
+    table.unlisted("a");
+    EXPECT_EQ(table.replicas()[0].head, nullptr);
+}
+
+} // namespace Kumquatpick
