Ask all peers about a silent host at once; bound each connect by its call

Change: peers are asked together, connects end with their call, warm replicas are formed in any domain.

--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -22,6 +22,7 @@
 
     // A replica is worth less the more of the weight store's time it takes: with this much of it, half.
     constexpr double halfValueLoadSeconds = 10;
+    constexpr uint32_t lastLoadsExtra = 2; // For replicas that only one load is missing for.
     constexpr double mostSpoilt = 3; // Loads that a host staged for another model may count as, on top of its own.
     // A domain that holds one model's replicas can rebuild one from its spares and survivors in a warm load's time; a
     // replica of another model there takes hosts from these. So it is formed only where that model is clearly short.
@@ -323,8 +324,13 @@
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
-    for (const auto& [domain, hosts] : freeHostsByDomain(input))
+    summary.loads = loadsInProgress(input);
+    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         summary.freeHosts += hosts.size();
+        auto& staged = summary.freeByDomain[fmt::format("{} ({})", domain, m_homes.homeOf(domain))];
+        for (const Host* host : hosts)
+            ++staged[host->status.stagedModels.empty() ? "nothing" : host->status.stagedModels.front()];
+    }
     return summary;
 }
 
@@ -410,7 +416,7 @@
             auto candidate = candidateIn(input, model, hosts, needs);
             if (!candidate)
                 continue;
-            if (m_homes.homeOf(domain) != model.name) {
+            if (m_homes.homeOf(domain) != model.name && candidate->loads > 0) {
                 if (needs.at(model.name) < leastNeedAwayFromHome)
                     continue;
                 candidate->value *= valueAwayFromHome;
@@ -476,8 +482,8 @@
     while (auto candidate = bestCandidate(input, needs(input))) {
         const ModelSpec& model = *candidate->model;
         // More loads at once take longer each; the last replica may go over, as a place left empty loads nothing.
-        bool hasRoom = input.loadsAreFree || candidate->loads == 0
-            || loadsInProgress(input) < input.service.timing.concurrentLoads;
+        uint32_t limit = input.service.timing.concurrentLoads + (candidate->loads == 1 ? lastLoadsExtra : 0);
+        bool hasRoom = input.loadsAreFree || candidate->loads == 0 || loadsInProgress(input) < limit;
         if (!hasRoom || !takeLoads(input, candidate->loads))
             return;
         Formation formation;
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -60,6 +60,9 @@
         std::map<std::string, uint32_t> forming;
         size_t dissolving = 0;
         size_t freeHosts = 0;
+        uint32_t loads = 0; // In progress.
+        // By domain: the model that it is home to, and the free hosts by what they have staged.
+        std::map<std::string, std::map<std::string, uint32_t>> freeByDomain;
     };
     Summary summary(const PlannerInput&) const;
 
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -22,6 +22,8 @@
     constexpr Milliseconds noPatienceGiven { 60'000 };
     // Refused sends cost a round trip each, and each counts as a repeat.
     constexpr uint32_t mostSends = 4;
+    // A host that is up accepts within a round trip. Nothing is sent before, so another host can be tried at once.
+    constexpr Milliseconds connectTimeout { 200 };
     // A call that may not run twice goes over a connection that was used just now or is new: one that the backend
     // server is about to close could take the call with it.
     constexpr Milliseconds idleForOnce { 300 };
@@ -194,7 +196,8 @@
     uint64_t eventsBefore = m_events.events();
 
     SendOutcome outcome = SendOutcome::NotRun;
-    auto acquired = co_await m_context.pool.acquire(host->address, mayRepeat() ? idleForRepeatable : idleForOnce);
+    auto acquired
+        = co_await m_context.pool.acquire(host->address, mayRepeat() ? idleForRepeatable : idleForOnce, connectTimeout);
     if (auto* error = std::get_if<Error>(&acquired)) {
         m_lastProblem = describe(*error);
     } else {
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    // A host that is up accepts within a round trip; a lost packet is repeated by the kernel after a second only.
-    constexpr Milliseconds connectTimeout { 400 };
     // Below the idle timeouts that backend servers usually announce.
     constexpr Milliseconds longestKept { 4000 };
     constexpr size_t idlePerPeer = 24;
@@ -55,7 +53,7 @@
 }
 
 asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> ConnectionPool::acquire(
-    Address peer, Milliseconds longestIdle)
+    Address peer, Milliseconds longestIdle, Milliseconds connectTimeout)
 {
     if (auto kept = takeIdle(peer, longestIdle))
         co_return std::move(kept);
@@ -97,7 +95,7 @@
 asio::awaitable<Settled<HttpResponse>> ConnectionPool::exchange(
     Address peer, HttpRequest request, Milliseconds timeout, Step step)
 {
-    auto acquired = co_await acquire(peer, controlIdle);
+    auto acquired = co_await acquire(peer, controlIdle, timeout);
     if (auto* error = std::get_if<Error>(&acquired))
         co_return *error;
     auto connection = std::move(std::get<0>(acquired));
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -31,7 +31,8 @@
 
     // One that lay idle for at most so long, or else a new one. Fails with Unreachable, or with
     // Refused where nothing listens: nothing was sent.
-    asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> acquire(Address, Milliseconds longestIdle);
+    asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> acquire(
+        Address, Milliseconds longestIdle, Milliseconds connectTimeout);
     // Takes back one that is between two answers.
     void release(std::unique_ptr<PeerConnection>);
     void closeIdle(MonotonicTime now);
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -14,12 +14,14 @@
     constexpr Milliseconds tickPeriod { 100 };
     constexpr std::chrono::seconds summaryPeriod { 1 };
     // Hosts answer these without a slot, within a round trip.
-    constexpr Milliseconds statusTimeout { 250 };
+    constexpr Milliseconds statusTimeout { 200 };
     constexpr Milliseconds orderTimeout { 600 };
     constexpr Milliseconds askPeriod { 180 };
     constexpr Milliseconds askSilentPeriod { 400 };
     constexpr int failuresOfSilence = 2;
-    constexpr size_t peersAsked = 3; // One after the other, each time that a host is silent.
+    // Enough to tell a dead host from one that a partition hides; in a small fleet these are all.
+    constexpr size_t peersAsked = 8;
+    constexpr Milliseconds peersTimeout { 500 };
     constexpr Milliseconds contactLasts { 2000 };
     constexpr std::chrono::seconds contactKept { 30 }; // After a host was unlisted.
     // Long enough for each peer to hear of a status in some round.
@@ -88,7 +90,8 @@
         m_context.log.write("replicas",
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
                 { "wanted", wanted }, { "in_flight", m_inFlight }, { "dissolving", summary.dissolving },
-                { "free_hosts", summary.freeHosts } });
+                { "free_hosts", summary.freeHosts }, { "loads", summary.loads },
+                { "free_by_domain", summary.freeByDomain } });
     }
     for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
@@ -192,7 +195,7 @@
     m_contacts[hostId].isRefused = !isSilent && std::holds_alternative<Error>(answer);
     if (!isSilent)
         m_contacts[hostId].via.clear();
-    else if (m_contacts[hostId].failures > 0)
+    else
         answer = co_await askThroughPeers(hostId, address);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto status
@@ -218,35 +221,50 @@
                 { "problem", describe(error) } });
 }
 
-// A partition may cut a host off from some nodes only. The peer that reached it last goes first.
+// A partition may cut a host off from some nodes only. Peers are asked at the same time: streams stand still meanwhile.
 asio::awaitable<Settled<HttpResponse>> ControllerLoop::askThroughPeers(std::string hostId, Address address)
 {
     std::vector<std::string> peers = m_peers.aliveAddresses();
     std::ranges::shuffle(peers, m_context.random);
-    std::ranges::stable_partition(peers, [&](const std::string& peer) { return peer == m_contacts[hostId].via; });
     std::ranges::stable_partition(
         peers, [&](const std::string& peer) { return !m_contacts[hostId].peersFailed.contains(peer); });
     peers.resize(std::min(peers.size(), peersAsked));
-    Settled<HttpResponse> answer = Error { ErrorCode::Unreachable, Step::Probe, hostId, "no peer to ask" };
-    for (const std::string& peer : peers) {
-        answer = co_await m_peers.relay(peer, address, m_context.platform.askStatus(hostId));
-        Contact& contact = m_contacts[hostId];
-        if (std::holds_alternative<HttpResponse>(answer)) {
-            contact.via = peer;
-            co_return answer;
-        }
+    auto asked = std::make_shared<AskedPeers>(m_context.io.get_executor(), peers.size());
+    asked->done.expires_after(peersTimeout);
+    for (const std::string& peer : peers)
+        asio::co_spawn(m_context.io, askPeer(peer, hostId, address, asked), asio::detached);
+    if (asked->unanswered > 0)
+        co_await asked->done.async_wait(asTuple);
+    if (asked->answer)
+        co_return *asked->answer;
+    m_contacts[hostId].via.clear();
+    co_return Error { ErrorCode::Unreachable, Step::Probe, hostId, "no peer reaches it" };
+}
+
+asio::awaitable<void> ControllerLoop::askPeer(
+    std::string peer, std::string hostId, Address address, std::shared_ptr<AskedPeers> asked)
+{
+    auto answer = co_await m_peers.relay(peer, address, m_context.platform.askStatus(hostId));
+    Contact& contact = m_contacts[hostId];
+    if (auto* response = std::get_if<HttpResponse>(&answer)) {
+        contact.via = peer;
+        asked->answer = *response;
+        asked->unanswered = 0;
+    } else {
         if (std::get<Error>(answer).code != ErrorCode::Malformed)
             contact.peersFailed.insert(peer);
+        asked->unanswered -= std::min<size_t>(1, asked->unanswered);
     }
-    m_contacts[hostId].via.clear();
-    co_return answer;
+    if (asked->unanswered == 0)
+        asked->done.cancel();
 }
 
 bool ControllerLoop::isSilentToAll(const Contact& contact) const
 {
-    return contact.failures >= failuresOfSilence
-        && std::ranges::all_of(
-            m_peers.aliveAddresses(), [&](const std::string& peer) { return contact.peersFailed.contains(peer); });
+    std::vector<std::string> peers = m_peers.aliveAddresses();
+    auto failed = static_cast<size_t>(
+        std::ranges::count_if(peers, [&](const std::string& peer) { return contact.peersFailed.contains(peer); }));
+    return contact.failures >= failuresOfSilence && failed >= std::min(peers.size(), peersAsked);
 }
 
 asio::awaitable<Settled<HttpResponse>> ControllerLoop::callHost(
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -35,6 +35,19 @@
         std::set<std::string> peersFailed; // Peers that did not reach it since anybody did.
     };
 
+    // Peers that are asked about a host at the same time.
+    struct AskedPeers {
+        AskedPeers(const asio::any_io_executor& executor, size_t count)
+            : done(executor)
+            , unanswered(count)
+        {
+        }
+
+        asio::steady_timer done;
+        size_t unanswered;
+        std::optional<HttpResponse> answer;
+    };
+
     void tick(uint64_t fencing);
     void planService(const ServiceSpec&, uint64_t fencing);
     void updateDemand(const ServiceSpec&);
@@ -44,6 +57,7 @@
     void askAwaited(const std::set<std::string, std::less<>>& awaited);
     asio::awaitable<void> askStatus(std::string hostId, Address);
     asio::awaitable<Settled<HttpResponse>> askThroughPeers(std::string hostId, Address);
+    asio::awaitable<void> askPeer(std::string peer, std::string hostId, Address, std::shared_ptr<AskedPeers>);
     asio::awaitable<Settled<HttpResponse>> callHost(std::string hostId, Address, HttpRequest, Milliseconds, Step);
     void noteFailure(const std::string& hostId, const Error&);
     bool isSilentToAll(const Contact&) const;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -22,7 +22,7 @@
     constexpr Milliseconds slowPeriod { 1500 };
     constexpr int triesBeforeForgotten = 40;
     constexpr const char* relayTarget = "/relay";
-    constexpr Milliseconds relayedTimeout { 400 };
+    constexpr Milliseconds relayedTimeout { 200 };
 
 }
 
