--- a/src/fleet/retryallowance.cpp
+++ b/src/fleet/retryallowance.cpp
@@ -13,8 +13,9 @@
 
 }
 
-RetryAllowance::RetryAllowance(RetryLimits limits)
+RetryAllowance::RetryAllowance(RetryLimits limits, MonotonicTime started)
     : m_limits(limits)
+    , m_started(started)
 {
 }
 
@@ -46,7 +47,8 @@
         firstSends += bucket.firstSends;
         retries += bucket.retries;
     }
-    return usableShare * (m_limits.ratio * firstSends + m_limits.allowance / m_nodes) - retries;
+    double grown = std::min(1.0, toSeconds(now - m_started) / toSeconds(m_limits.window));
+    return usableShare * (m_limits.ratio * firstSends + grown * m_limits.allowance / m_nodes) - retries;
 }
 
 bool RetryAllowance::takeRetry(std::string_view service, MonotonicTime now)
--- a/src/fleet/retryallowance.h
+++ b/src/fleet/retryallowance.h
@@ -21,7 +21,9 @@
 // its own first sends and an even share of the fixed allowance, so the sum keeps the limit without any messages.
 class RetryAllowance {
 public:
-    explicit RetryAllowance(RetryLimits);
+    // started: of this process. What the one before it repeated counts in the fleet's windows too, so the fixed
+    // allowance grows from nothing over the first window.
+    RetryAllowance(RetryLimits, MonotonicTime started);
 
     void setNodes(uint32_t liveNodes);
     void firstSend(std::string_view service, MonotonicTime now);
@@ -41,6 +43,7 @@
     Window& windowOf(std::string_view service, MonotonicTime now);
 
     RetryLimits m_limits;
+    MonotonicTime m_started;
     uint32_t m_nodes = 1;
     std::map<std::string, Window, std::less<>> m_services;
 };
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -34,7 +34,11 @@
     constexpr size_t readBytes = 16 * 1024;
     // A broken stream waits for a place elsewhere about as long as its caller does between two events.
     constexpr Milliseconds resumeWait { 1500 };
-    constexpr Milliseconds resumePoll { 30 };
+    constexpr Milliseconds placePoll { 30 };
+    // From 0, which goes first, to 9.
+    constexpr int resumedPriority = 0;
+    constexpr int firstPriority = 1;
+    constexpr int latePriority = 9;
     constexpr uint32_t resumeQueueExtra = 12;
     // An idempotent call to a plain service tries another server once this one took several times its target.
     constexpr int patienceInTargets = 3;
@@ -127,6 +131,7 @@
 void CallForwarder::startClock()
 {
     m_context.anyCallSeen = true;
+    m_isLate = m_servesModels && comesTooLate();
     m_deadline = std::min(m_deadline, m_arrived + m_route->timeout);
     m_active->timer.expires_at(m_deadline);
     m_active->timer.async_wait([active = m_active](const auto& error) {
@@ -135,6 +140,28 @@
     });
 }
 
+// A caller that was refused before comes back with less patience. Answering those first who can still be answered in
+// time serves more of them in time, and fewer of the others by no more than that.
+bool CallForwarder::comesTooLate()
+{
+    if (!m_call.patience)
+        return false;
+    Milliseconds& longest = m_context.longestPatience[m_route->name];
+    longest = std::max(longest, *m_call.patience);
+    return longest - *m_call.patience >= m_route->targetLatency;
+}
+
+// A stream that its caller reads already goes first, one that is late anyway last.
+int CallForwarder::priority() const
+{
+    if (m_headPassed || m_runs > 0)
+        return resumedPriority;
+    if (m_isLate)
+        return latePriority;
+    int rank = m_team && m_team->priority ? *m_team->priority : m_route->priority;
+    return std::clamp(firstPriority + rank, firstPriority, latePriority - 1);
+}
+
 Milliseconds CallForwarder::patienceLeft() const
 {
     return std::max(Milliseconds(1), std::chrono::floor<Milliseconds>(m_deadline - m_context.now()));
@@ -149,21 +176,24 @@
     return !m_hostId.empty();
 }
 
-// A new call that finds no place is refused at once. A stream that has begun is worth waiting for a little.
+// A new call that finds no place is refused at once: one that waits could not be in time. A stream that has begun is
+// worth waiting for a little.
+MonotonicTime CallForwarder::waitsForHostUntil() const { return m_runs > 0 ? m_context.now() + resumeWait : m_arrived; }
+
 asio::awaitable<bool> CallForwarder::awaitHost()
 {
-    MonotonicTime until = m_context.now() + resumeWait;
+    MonotonicTime until = waitsForHostUntil();
     while (m_active->end == CallEnd::None) {
         MonotonicTime now = m_context.now();
         if (chooseHost(now))
             co_return true;
-        if (m_runs == 0 || now >= until) {
+        if (now >= until) {
             m_lastProblem = m_lastProblem.empty() ? "no replica has room" : m_lastProblem;
             if (m_servesModels && m_runs == 0)
                 ++m_context.demand[m_call.model].refusedSinceTick;
             co_return false;
         }
-        co_await pause(resumePoll);
+        co_await pause(placePoll);
     }
     co_return false;
 }
@@ -237,7 +267,7 @@
     send.team = m_team ? m_team->name : std::string();
     send.resumeAfter = m_events.lastId();
     send.patience = patienceLeft();
-    send.priority = m_team && m_team->priority ? *m_team->priority : m_route->priority;
+    send.priority = priority();
     HttpRequest request = m_context.platform.forward(m_call, send);
 
     // A plain call that may be repeated does not wait for one slow server until its own time is up.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -45,6 +45,9 @@
     bool findRoute();
     bool checkKey();
     void startClock();
+    bool comesTooLate();
+    int priority() const;
+    MonotonicTime waitsForHostUntil() const;
     bool chooseHost(MonotonicTime now);
     asio::awaitable<bool> awaitHost();
     bool mayTryAgain(SendOutcome, MonotonicTime now);
@@ -77,6 +80,7 @@
     const TeamSpec* m_team = nullptr;
     std::string m_service;
     bool m_servesModels = false;
+    bool m_isLate = false; // Its target for the first byte is past, as it waited elsewhere before.
     MonotonicTime m_arrived;
     MonotonicTime m_deadline;
     std::shared_ptr<ActiveCall> m_active;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -35,7 +35,7 @@
         , platform(p)
         , pool(ioContext.get_executor())
         , balancer(s.zone)
-        , retries(s.retryLimits())
+        , retries(s.retryLimits(), monotonicNow())
         , log(STDOUT_FILENO, s.name)
         , random(seededFromSystem())
     {
@@ -55,6 +55,8 @@
     Random random;
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
+    // The longest patience that callers of a route came with: one who comes with less has waited before.
+    std::map<std::string, Milliseconds, std::less<>> longestPatience;
     bool anyCallSeen = false;
     bool isStopping = false;
     bool hostsListed = false; // The list of backend servers was read once.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -28,7 +28,7 @@
     std::string retryRatio = "0.2"; // Of first sends; decimal.
     std::chrono::seconds retryWindow { 10 };
     uint64_t retryAllowance = 100; // On top, for the whole fleet, in each window.
-    uint64_t queuePerReplica = 6; // Calls that may wait at a replica beyond its places.
+    uint64_t queuePerReplica = 2; // Calls that may wait at a replica beyond its places and still be in time.
 
     RetryLimits retryLimits() const;
     std::vector<Address> seedAddresses() const;
