--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -47,6 +47,9 @@
     constexpr Milliseconds earliestReturn { 400 };
     constexpr Milliseconds returnSpread { 900 };
 
+    // Of SendOutcome, for logs.
+    constexpr const char* sendOutcomeNames[] = { "answered", "not_run", "unusable", "broken", "caller_broken" };
+
     // These promise that the request has not run; only who knows that may say so.
     bool promisesNotRun(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
@@ -253,7 +256,7 @@
         ++m_runs;
     if (outcome != SendOutcome::Answered) {
         m_context.log.writeRoutine("send_ended",
-            { { "id", m_call.id }, { "host", hostId }, { "outcome", static_cast<int>(outcome) },
+            { { "id", m_call.id }, { "host", hostId }, { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] },
                 { "stalled", m_active->isStalled }, { "problem", m_lastProblem }, { "events", m_events.events() },
                 { "ms", milliseconds(m_context.now() - begun) } });
     }
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -27,9 +27,8 @@
     // Long enough for each peer to hear of a status in some round.
     constexpr Milliseconds tellStatusFor { 1500 };
 
-    // Demand follows traffic within a few seconds; what operators expect counts until it is known.
+    // Demand follows traffic within a few seconds; what operators expect counts until calls fill one replica's places.
     constexpr double demandGain = 0.04; // Each tick.
-    constexpr Milliseconds demandUnknownFor { 4000 };
     // Replicas answer in time while this share of their places is taken.
     constexpr double wantedUse = 0.6;
 
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -47,7 +47,7 @@
         { "peers", digest.peers }, { "zone", digest.zone }, { "stopping", digest.isStopping },
         { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
         { "in_flight", digest.inFlight }, { "waiting", digest.waiting }, { "still", digest.standingStill },
-        { "known", digest.knownPeers }, { "leaving", digest.leaving } };
+        { "known", digest.knownPeers } };
     if (!digest.configText.empty())
         result["config_text"] = digest.configText;
     for (const auto& reported : digest.reported)
@@ -74,7 +74,6 @@
         digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
         digest.standingStill = entry.at("still").get<std::vector<std::string>>();
         digest.knownPeers = entry.at("known").get<std::vector<std::string>>();
-        digest.leaving = entry.at("leaving").get<std::vector<std::string>>();
         for (const auto& reported : entry.value("reported", json::array()))
             digest.reported.push_back(decodeStatus(reported));
         return digest;
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -35,7 +35,6 @@
     std::vector<std::string> standingStill; // Heads.
     std::vector<std::string> knownPeers; // Addresses for digests.
     std::vector<ReportedStatus> reported;
-    std::vector<std::string> leaving; // Hosts that are draining or gone, as the list said lately.
 };
 
 std::string encode(const PeerDigest&);
--- a/tests/fleet/retryallowance_test.cpp
+++ b/tests/fleet/retryallowance_test.cpp
@@ -40,7 +40,7 @@
 }
 
 // In no window do the repeats of all nodes pass the fleet's limit.
-RC_GTEST_PROP(RetryAllowance, KeepsTheLimitInEachWindow, (std::vector<uint8_t> pauses))
+RC_GTEST_PROP(RetryAllowance, KeepsTheLimitInEachWindow, (const std::vector<uint8_t>& pauses))
 {
     RetryAllowance allowance(limits, start - std::chrono::hours(1));
     allowance.setNodes(1);
