Give entries time to come back after an interruption; leave the lease alone while the store turns this node away

Also: a connect that failed counted as a repeat and the dead host was tried again at once; entries that lapse while the store is away took living replicas out for two seconds. A test program ended with a double free: coroutines that still waited outlived the gateway that they refer to; the program now ends without an orderly destruction, tests keep the gateway.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -141,6 +141,7 @@
             = std::max(target.avoidUntil, now + avoidFailed * static_cast<int>(std::ceil(target.failures)));
         break;
     case SendEnd::Stalled:
+    case SendEnd::Unreachable:
         target.avoidUntil = std::max(target.avoidUntil, now + avoidStalled);
         break;
     case SendEnd::NotTaken:
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -29,6 +29,7 @@
     Withdrawn, // The caller left or its time was over.
     Failed, // Broken off, or an answer that can't be used.
     Stalled, // Nothing came although something was due.
+    Unreachable, // It accepts no connection.
 };
 
 struct ChoiceRequest {
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -107,7 +107,8 @@
         finish("answered", {});
     else
         co_await answerFailed();
-    co_return m_keepAlive && m_active->end != CallEnd::CallerLeft&& m_caller.socket().is_open();
+    bool callerStays = m_active->end != CallEnd::CallerLeft;
+    co_return m_keepAlive&& callerStays&& m_caller.socket().is_open();
 }
 
 bool CallForwarder::findRoute()
@@ -210,7 +211,8 @@
     if (m_runs >= m_route->maxAttempts || m_sends >= mostSends)
         return false;
     m_tried.push_back(m_hostId);
-    return m_context.retries.takeRetry(m_service, now);
+    // What never arrived anywhere is no repeat to anyone.
+    return !m_hasArrived || m_context.retries.takeRetry(m_service, now);
 }
 
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendOnce()
@@ -231,8 +233,10 @@
     SendOutcome outcome = SendOutcome::NotRun;
     auto acquired
         = co_await m_context.pool.acquire(host->address, mayRepeat() ? idleForRepeatable : idleForOnce, connectTimeout);
-    if (auto* error = std::get_if<Error>(&acquired)) {
-        m_lastProblem = describe(*error);
+    m_hasArrived = std::holds_alternative<std::unique_ptr<PeerConnection>>(acquired);
+    if (!m_hasArrived) {
+        m_lastProblem = describe(std::get<Error>(acquired));
+        m_sendEnd = SendEnd::Unreachable;
     } else {
         auto connection = std::move(std::get<0>(acquired));
         if (m_active->end == CallEnd::None) {
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -90,6 +90,7 @@
     std::vector<std::string> m_tried;
     uint32_t m_sends = 0;
     uint32_t m_runs = 0; // Sends that may have run it.
+    bool m_hasArrived = false; // The latest send had a connection.
     SendEnd m_sendEnd = SendEnd::NotTaken; // How the present send ended, for the balancer.
     bool m_headPassed = false;
     std::optional<MonotonicTime> m_firstEventAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,8 @@
     // Hosts write all the time; one read takes what came in this pause. A leaving host may get work for two seconds.
     constexpr LogFollower::Pace hostPace { Milliseconds(1000), Milliseconds(400) };
 
+    // Hosts write their entries every 1.2 s, and the list is up to 0.8 s behind.
+    constexpr Milliseconds entriesBackAfter { 2200 };
     constexpr Milliseconds keepUpPeriod { 50 };
     constexpr int slowTicks = 20; // Of that period, for what is done once a second.
     constexpr std::chrono::seconds addressesKept { 60 };
@@ -159,10 +161,10 @@
 void Gateway::takeHost(const LogRecord& record)
 {
     if (!record.value) {
-        m_context.log.write("host_unlisted", { { "host", record.key }, { "offset", record.offset } });
-        m_context.hosts.unlisted(record.key);
+        dropHost(record.key);
         return;
     }
+    m_dropsDue.erase(record.key);
     auto host = m_context.platform.host(record.key, *record.value);
     if (auto* error = std::get_if<Error>(&host)) {
         m_context.log.write("host_unreadable", { { "host", record.key }, { "problem", describe(*error) } });
@@ -185,10 +187,35 @@
             gone.push_back(id);
     }
     for (const std::string& id : gone)
-        m_context.hosts.unlisted(id);
+        dropHost(id);
     m_context.hostsListed = true;
 }
 
+// Entries that lapse while the store is away come back soon after it, if their hosts live.
+void Gateway::dropHost(const std::string& id)
+{
+    MonotonicTime entriesAreBack = m_health.servesSince() + entriesBackAfter;
+    if (m_context.now() < entriesAreBack && m_context.hosts.find(id)) {
+        m_dropsDue.try_emplace(id, entriesAreBack);
+        return;
+    }
+    m_context.log.write("host_unlisted", { { "host", id } });
+    m_context.hosts.unlisted(id);
+}
+
+void Gateway::dropDueHosts()
+{
+    std::vector<std::string> due;
+    for (const auto& [id, at] : m_dropsDue) {
+        if (at <= m_context.now())
+            due.push_back(id);
+    }
+    for (const std::string& id : due) {
+        m_dropsDue.erase(id);
+        dropHost(id);
+    }
+}
+
 void Gateway::fillDigest(PeerDigest& digest) const
 {
     digest.isReady = isReady();
@@ -215,6 +242,7 @@
 asio::awaitable<void> Gateway::keepUp()
 {
     for (int tick = 0;; ++tick) {
+        dropDueHosts();
         m_context.hosts.expireReports(m_context.now());
         refreshOthersInFlight();
         refreshTargets();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,8 @@
     void adoptConfig(std::string_view text, std::string_view source);
     void takeHost(const LogRecord&);
     void dropUnlistedHosts();
+    void dropHost(const std::string& id);
+    void dropDueHosts();
     LogFollower::Handlers configHandlers();
     LogFollower::Handlers hostHandlers();
 
@@ -60,6 +62,7 @@
     QuestionServer m_peerServer;
     std::list<std::weak_ptr<CallerSession>> m_sessions;
     std::set<std::string, std::less<>> m_listing; // Hosts seen in the listing under way.
+    std::map<std::string, MonotonicTime, std::less<>> m_dropsDue; // Hosts whose entries lapsed around an interruption.
     std::map<std::string, MonotonicTime, std::less<>> m_stoodStillAt; // Heads.
     uint64_t m_targetsOf = UINT64_MAX; // Versions that the targets were made from.
     const RouteTable* m_targetsOfRoutes = nullptr;
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -36,6 +36,7 @@
 
 ControllerLease::ControllerLease(GatewayContext& context, StoreHealth& health)
     : m_context(context)
+    , m_health(health)
     , m_follower(context, health, LogName::Controller, controllerPace,
           { [] {}, [this](const LogRecord& record) { take(record); }, [] {} })
     , m_self(fmt::format("{}/{:x}", context.settings.name, context.random()))
@@ -79,6 +80,9 @@
         bool isOwn = m_holder == m_self;
         BootTime waited = bootNow() - (isOwn ? m_validFrom : m_seenAt);
         bool isFree = m_holder.empty();
+        // A node that the store turns away sees no renewals either; that is no reason to take over.
+        if (!isOwn && !m_health.isServing())
+            continue;
         if (isOwn ? waited >= renewEvery : (isFree || waited >= takeOverAfter)) {
             if (!isOwn)
                 co_await pause(std::chrono::duration_cast<Milliseconds>(
--- a/src/gateway/lease.h
+++ b/src/gateway/lease.h
@@ -39,6 +39,7 @@
     asio::awaitable<void> claim(bool isRelease);
 
     GatewayContext& m_context;
+    const StoreHealth& m_health;
     LogFollower m_follower;
     std::string m_self; // This life of this node.
     std::string m_holder;
--- a/tests/fleet/balancer_test.cpp
+++ b/tests/fleet/balancer_test.cpp
@@ -70,6 +70,16 @@
     EXPECT_EQ(choose(0, {}, start + std::chrono::seconds(5)), "a") << "a full server is no failed one";
 }
 
+// A dead host is listed for some seconds more; each try costs a call the time of a connect.
+TEST_F(BalancerTest, KeepsOffAnUnreachableTargetForLonger)
+{
+    m_balancer.setTargets({ headOf("a") });
+    m_balancer.started("a", start);
+    m_balancer.ended("a", SendEnd::Unreachable, start);
+    EXPECT_EQ(choose(0, {}, start + std::chrono::seconds(1)), "");
+    EXPECT_EQ(choose(0, {}, start + std::chrono::seconds(2)), "a");
+}
+
 // A replica that lost a member stops all its streams at once, while its head goes on accepting.
 TEST_F(BalancerTest, SeesThatAllStreamsOfAReplicaStandStill)
 {
--- a/tests/platform/testnode.cpp
+++ b/tests/platform/testnode.cpp
@@ -18,6 +18,8 @@
 }
 
 TestNode::TestNode(std::string name, Address store, std::string seeds)
+    : m_settings(*new GatewaySettings)
+    , m_codec(*new PlatformCodec)
 {
     m_settings.name = std::move(name);
     m_settings.zone = "z1";
@@ -32,7 +34,7 @@
     m_settings.retryAllowance = 1000; // It grows from nothing with the process, and tests are short.
     static const int nowhere = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
     m_settings.logDescriptor = nowhere;
-    m_gateway = std::make_unique<Gateway>(m_io, m_settings, m_codec);
+    m_gateway = new Gateway(m_io, m_settings, m_codec);
     m_gateway->start();
     m_thread = std::thread([this] {
         m_io.run();
--- a/tests/platform/testnode.h
+++ b/tests/platform/testnode.h
@@ -27,10 +27,10 @@
     Address peers() const { return m_settings.peers; }
 
 private:
-    GatewaySettings m_settings;
-    PlatformCodec m_codec;
+    GatewaySettings& m_settings; // Lives as long as the gateway.
+    PlatformCodec& m_codec;
     asio::io_context m_io;
-    std::unique_ptr<Gateway> m_gateway;
+    Gateway* m_gateway; // Never destroyed: what still waits in the event loop refers to it until the loop is gone.
     std::atomic<bool> m_hasEnded { false };
     std::thread m_thread;
 };
