Wait on conditions in place of times in the adapter's tests

Cause: three tests slept for a time in which something was expected to have happened. The stand-in now tells how far its logs were read and how many events it sent; the tests wait for these. No check is loosened.

--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -186,7 +186,7 @@
     EXPECT_TRUE(eventually([&] { return status("/again/x", "key-1") == 401; }, Milliseconds(2000)));
     EXPECT_EQ(status("/again/x", "key-2"), 200);
     publish(1, { "key-1" });
-    std::this_thread::sleep_for(300ms);
+    ASSERT_TRUE(eventually([&] { return m_store.isReadToItsEnd("keyed.op"); }));
     EXPECT_EQ(status("/again/x", "key-1"), 401) << "a configuration never goes back";
 }
 
@@ -224,8 +224,8 @@
     auto response = call("/once/x");
     EXPECT_EQ(response->status, 502) << "503 would promise that it has not run";
     EXPECT_EQ(runs(), 1);
-    std::this_thread::sleep_for(1s); // Both servers are trusted again.
-    EXPECT_EQ(status("/again/x"), 502);
+    // Until a server is trusted again, calls are refused and run nowhere.
+    EXPECT_TRUE(eventually([&] { return status("/again/x") == 502; }));
     EXPECT_GE(runs(), 2);
     EXPECT_LE(runs(), 3) << "at most two servers run one call";
 }
@@ -239,9 +239,9 @@
     callers.reserve(answers.size());
     for (auto& answer : answers)
         callers.emplace_back([&] { answer = call("/story/x"); });
-    ASSERT_TRUE(eventually([&] { return openHeads()[0]->runs > 0; }));
-    std::this_thread::sleep_for(150ms);
     StandinHost* stuck = openHeads()[0];
+    int sentBefore = stuck->eventsSent;
+    ASSERT_TRUE(eventually([&] { return stuck->runs > 0 && stuck->eventsSent >= sentBefore + 3; }));
     stuck->standsStill = true;
     for (auto& caller : callers)
         caller.join();
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -83,6 +83,12 @@
     m_topics[topic].push_back(static_cast<char>(key.size()) + key + value);
 }
 
+bool StandinStore::isReadToItsEnd(const std::string& topic)
+{
+    std::lock_guard lock(m_mutex);
+    return m_readFrom[topic] >= m_topics[topic].size();
+}
+
 void StandinStore::append(const httplib::Request& request, httplib::Response& response)
 {
     {
@@ -109,6 +115,7 @@
     for (;; std::this_thread::sleep_for(5ms)) {
         std::lock_guard lock(m_mutex);
         const Topic& topic = m_topics[request.get_param_value("topic")];
+        m_readFrom[request.get_param_value("topic")] = from;
         if (topic.size() <= from && std::chrono::steady_clock::now() < until)
             continue;
         std::string body = bigEndian(topic.size(), 8) + bigEndian(0, 8);
@@ -260,6 +267,7 @@
             }
             std::string event = "id: " + std::to_string(next) + "\ndata: piece\n\n";
             ++next;
+            ++eventsSent;
             return sink.write(event.data(), event.size()) || (++cutOff, false);
         });
 }
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -43,6 +43,8 @@
     ~StandinStore() override { stop(); }
 
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    // Whether a reader has asked for what comes after the topic's last record, so it has taken all of them.
+    bool isReadToItsEnd(const std::string& topic);
     // Does nothing and says so.
     std::atomic<bool> isDown { false };
     // Appends, but answers only after the caller has given up.
@@ -57,6 +59,7 @@
 
     std::mutex m_mutex;
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, size_t> m_readFrom; // The latest offset asked for, by topic.
 };
 
 // A backend server of either kind: a model host that obeys orders and streams events, or a plain one.
@@ -77,6 +80,7 @@
     std::string id() const { return m_options.id; }
     bool isOpenHead();
     std::atomic<int> runs { 0 }; // Requests that it ran.
+    std::atomic<int> eventsSent { 0 };
     std::atomic<int> cutOff { 0 }; // Streams whose reader left before the end.
     std::atomic<bool> isFull { false }; // Refuses requests, and says that it does not run them.
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
