Hold two models on each host, let replicas give way to a shorter model, control on while the store is away

Formations held three hosts that had the large model until a fourth had loaded it (16 s and more, as nine loads shared a store that fills seven at once), spares stood idle, and survivors of pairs found no partner. Before traffic loads cost nothing and were hardly used.

A host joins the model that it ran last at once, so its staged copy is now of another one: before traffic every host comes to hold two models and none stands by as a spare. During traffic a replica is formed only of hosts that hold its model; cold hosts load what their domain lacks the fewest hosts for. Where one model is clearly shorter, replicas of another one in the same domain close and their hosts serve it (chooseShift).

The controller rested while the store was away. Nobody can claim then, so the holder goes on as long as it hears peers and none of them read of a later holder; that is safe as joins are conditional. A holder whose process no digest came from is followed after 1.7 s in place of 3.2 s.

The weight store's test counts staging loads too. The stand-in learned late orders, lapsed entries and lost hosts.

--- a/src/fleet/domainhomes.cpp
+++ b/src/fleet/domainhomes.cpp
@@ -13,7 +13,7 @@
     struct Domain {
         std::string name;
         double hosts = 0;
-        std::map<std::string, double, std::less<>> staged; // Hosts by model.
+        std::map<std::string, double, std::less<>> running; // Hosts by the model that they ran last, or have staged.
     };
 
     std::vector<Domain> domainsOf(const HostTable& table, std::string_view service)
@@ -25,8 +25,11 @@
             Domain& domain = domains[host.status.domain];
             domain.name = host.status.domain;
             ++domain.hosts;
-            for (const std::string& model : host.status.stagedModels)
-                ++domain.staged[model];
+            // What else a host that ran a model has staged is only its second choice.
+            if (!host.status.lastModel.empty())
+                ++domain.running[host.status.lastModel];
+            else if (!host.status.stagedModels.empty())
+                ++domain.running[host.status.stagedModels.front()];
         }
         std::vector<Domain> result;
         result.reserve(domains.size());
@@ -68,9 +71,9 @@
         bool isLast = model == models.back();
         double quota = wantedHosts > 0 ? hosts * hostsFor(*model) / wantedHosts : 0;
         std::ranges::stable_sort(left, std::greater(), [&](const Domain& domain) {
-            auto staged = domain.staged.find(model->name);
+            auto running = domain.running.find(model->name);
             double inertia = homeOf(domain.name) == model->name ? homeInertia : 0;
-            return (staged == domain.staged.end() ? 0 : staged->second) + inertia;
+            return (running == domain.running.end() ? 0 : running->second) + inertia;
         });
         size_t taken = 0;
         while (taken < left.size() && (isLast || quota >= left[taken].hosts / 2)) {
--- a/src/fleet/domainhomes.h
+++ b/src/fleet/domainhomes.h
@@ -15,8 +15,8 @@
 // store.
 class DomainHomes {
 public:
-    // Shares the domains out by the hosts that each model's wanted replicas take, where most of what a domain has
-    // staged stays of use.
+    // Shares the domains out by the hosts that each model's wanted replicas take, where most of what a domain's hosts
+    // ran stays of use.
     void assign(const HostTable&, const ServiceSpec&, const std::map<std::string, double, std::less<>>& wantedReplicas);
     // Empty for a domain that is not known.
     std::string_view homeOf(std::string_view domain) const;
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -35,6 +35,7 @@
 struct HostStatus {
     std::optional<uint64_t> ordersAccepted; // In this life; only a host's own report says it, the list does not.
     std::string model; // Of its membership.
+    std::string lastModel; // Of its latest membership in this life: it joins that model again without any load.
     std::vector<std::string> stagedModels; // Copies on the host, loaded in the model's warmLoad.
     std::optional<Membership> membership;
     std::string domain; // Hosts of one domain form fast replicas.
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -31,9 +31,18 @@
         host.status = *sources.reported;
     else
         sources.reported.reset();
+    keepLastModel(sources, host.status);
     m_hosts.insert_or_assign(host.id, host);
 }
 
+// A host names its model only while it is a member.
+void HostTable::keepLastModel(Sources& sources, HostStatus& status)
+{
+    if (status.membership && !status.model.empty())
+        sources.lastModel = status.model;
+    status.lastModel = sources.lastModel;
+}
+
 // A host that starts again has the address of its earlier life, whose entry only goes some seconds later; a late
 // heartbeat may even bring it back. False if it is this one that is the earlier.
 bool HostTable::dropEarlierLife(const Host& host)
@@ -70,6 +79,7 @@
     sources.mostOrders = orders;
     if (status.domain.empty())
         status.domain = found->second.status.domain;
+    keepLastModel(sources, status);
     sources.reported = status;
     sources.reportedAt = at;
     found->second.status = std::move(status);
@@ -84,6 +94,7 @@
             continue;
         ++m_version;
         sources.reported.reset();
+        keepLastModel(sources, sources.listed);
         m_hosts.find(id)->second.status = sources.listed;
     }
 }
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -52,9 +52,11 @@
         // Of all reports in this life: they only grow, so one that counts fewer was held up on its way, by a partition
         // for as long as that lasts.
         std::optional<uint64_t> mostOrders;
+        std::string lastModel;
     };
 
     bool dropEarlierLife(const Host&);
+    static void keepLastModel(Sources&, HostStatus&);
 
     std::map<std::string, Host, std::less<>> m_hosts; // With the status that counts.
     std::map<std::string, Sources, std::less<>> m_sources;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -23,14 +23,13 @@
     constexpr int longestLoads = 4;
     constexpr Milliseconds formationMargin { 10'000 };
 
-    // A replica is worth less the more of the weight store's time it takes: with this much of it, half.
-    constexpr double halfValueLoadSeconds = 10;
-    constexpr uint32_t lastLoadsExtra = 2; // For replicas that only one load is missing for.
-    constexpr double mostSpoilt = 3; // Loads that a host staged for another model may count as, on top of its own.
-    // A domain that holds one model's replicas can rebuild one from its spares and survivors in a warm load's time; a
-    // replica of another model there takes hosts from these. So it is formed only where that model is clearly short.
-    constexpr double leastNeedAwayFromHome = 1.3;
-    constexpr double valueAwayFromHome = 0.35;
+    // A warm load delays a replica by a second or two; joining the model that a host ran last does not.
+    constexpr double warmCost = 0.1;
+    // Replicas that give way finish what they have for this long; what is longer goes on elsewhere.
+    constexpr Milliseconds retireGrace { 600 };
+    constexpr Milliseconds longestShift { 5000 };
+    // Of the weight store's loads, for second models: cold hosts go first.
+    constexpr uint32_t secondModelLoads = 2;
     constexpr Milliseconds longestStaging { 60'000 };
     // At the very start hosts appear in the list one by one; where each model is at home is settled once they have.
     constexpr Milliseconds settledAfter { 600 };
@@ -57,6 +56,12 @@
         return order;
     }
 
+    // It joins the model without a load from the weight store.
+    bool hasModel(const Host& host, std::string_view model)
+    {
+        return host.status.lastModel == model || isStaged(host, model);
+    }
+
     bool hasJoined(const Host& host, std::string_view replica, uint64_t epoch)
     {
         return host.status.membership && host.status.membership->isOf(replica, epoch);
@@ -187,14 +192,16 @@
         watch.headId = replica.head->id;
         watch.headIsLeaving = watch.headIsLeaving || replica.head->draining;
     }
-    if (watch.isDissolving || !replica.head || !isTakingRequests(replica.head->status.membership->state))
+    bool isRetired = watch.retiringSince && input.now - *watch.retiringSince > retireGrace;
+    bool isServing = replica.head && isTakingRequests(replica.head->status.membership->state);
+    if (watch.isDissolving || !isServing || isRetired)
         return dissolve(input, replica, orders);
 
     const ModelSpec* model = input.service.model(replica.model);
     bool isShort = model && replica.members.size() < model->hostsPerReplica;
     bool isDoubted = isShort || input.standsStill(replica.head->id);
     bool hasLost = isShort;
-    bool isLeaving = false;
+    bool isLeaving = watch.retiringSince.has_value();
     for (const Host* member : replica.members) {
         HostContact contact = input.contact(member->id);
         if (isDoubted)
@@ -413,37 +420,29 @@
     return count;
 }
 
-// The weight store is what is short once traffic runs: hosts are lost faster than it fills new ones. So the members
-// with the model staged come first, then those with nothing staged; one that is staged for another model costs that
-// model a load too, as far as it is needed.
+// Once traffic runs, only hosts that hold the model count: hosts are lost faster than the weight store fills new ones,
+// and a replica that waits for one load of sixteen seconds would keep three hosts from serving that long.
 std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
     const std::vector<const Host*>& freeHosts, const Needs& needs) const
 {
     double need = needs.at(model.name);
-    if (freeHosts.size() < model.hostsPerReplica || need <= 0)
+    Candidate candidate;
+    candidate.model = &model;
+    std::ranges::copy_if(freeHosts, std::back_inserter(candidate.members),
+        [&](const Host* host) { return input.loadsAreFree || hasModel(*host, model.name); });
+    if (candidate.members.size() < model.hostsPerReplica || need <= 0)
         return std::nullopt;
     auto cost = [&](const Host* host) {
-        if (isStagedOrStaging(*host, model.name))
+        if (host->status.lastModel == model.name)
             return 0.0;
-        double spoilt = 0;
-        for (const std::string& other : host->status.stagedModels) {
-            auto otherNeed = needs.find(other);
-            spoilt += otherNeed == needs.end() ? 0 : std::min(mostSpoilt, otherNeed->second / need);
-        }
-        return 1 + spoilt;
+        return hasModel(*host, model.name) ? warmCost : 1.0;
     };
-    Candidate candidate;
-    candidate.model = &model;
-    candidate.members = freeHosts;
     std::ranges::stable_sort(candidate.members, {}, cost);
     candidate.members.resize(model.hostsPerReplica);
     double costs = 0;
-    for (const Host* host : candidate.members) {
-        costs += cost(host);
-        candidate.loads += isStagedOrStaging(*host, model.name) ? 0 : 1;
-    }
-    double seconds = input.loadsAreFree ? 0 : toSeconds(model.load);
-    candidate.value = need / (1 + costs * seconds / halfValueLoadSeconds);
+    for (const Host* host : candidate.members)
+        costs += input.loadsAreFree ? 0 : cost(host);
+    candidate.value = need / (1 + costs);
     return candidate;
 }
 
@@ -452,15 +451,12 @@
 {
     std::optional<Candidate> best;
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
+        const ModelSpec* home = input.service.model(m_homes.homeOf(domain));
+        bool homeFirst = input.loadsAreFree && home && hosts.size() >= home->hostsPerReplica;
         for (const ModelSpec& model : input.service.models) {
             auto candidate = candidateIn(input, model, hosts, needs);
-            if (!candidate)
+            if (!candidate || isKeptFor(domain, model.name) || (homeFirst && &model != home))
                 continue;
-            if (m_homes.homeOf(domain) != model.name && candidate->loads > 0) {
-                if (needs.at(model.name) < leastNeedAwayFromHome)
-                    continue;
-                candidate->value *= valueAwayFromHome;
-            }
             if (!best || candidate->value > best->value)
                 best = std::move(candidate);
         }
@@ -468,10 +464,10 @@
     return best;
 }
 
-bool ReplicaPlanner::isStagedOrStaging(const Host& host, std::string_view model) const
+bool ReplicaPlanner::isStaging(const Host& host, std::string_view model) const
 {
     auto staging = m_stagings.find(host.id);
-    return isStaged(host, model) || (staging != m_stagings.end() && staging->second.model == model);
+    return staging != m_stagings.end() && staging->second.model == model;
 }
 
 bool ReplicaPlanner::hasSettled(const PlannerInput& input)
@@ -486,38 +482,142 @@
         || input.now - *m_firstSeen >= longestSettling;
 }
 
-// Spare hosts load the model that their domain is home to while the weight store has nothing better to do: a replica
-// that loses a member is then whole again after a warm load.
-void ReplicaPlanner::stageSpares(const PlannerInput& input, std::vector<HostOrder>& orders)
+// Idle hosts that can serve no model load the one that they bring nearest to a further replica, the nearest first.
+void ReplicaPlanner::stageIdleHosts(const PlannerInput& input, std::vector<HostOrder>& orders)
 {
-    std::erase_if(m_stagings, [&](const auto& entry) {
-        const Host* host = input.hosts.find(entry.first);
-        return !host || isStaged(*host, entry.second.model) || input.now - entry.second.begun > longestStaging;
-    });
-    for (const auto& [id, staging] : m_stagings)
-        m_awaited.insert(id);
     auto need = needs(input);
-    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
-        std::string_view home = m_homes.homeOf(domain);
-        for (const Host* host : hosts) {
-            bool isNeededElsewhere = std::ranges::any_of(host->status.stagedModels, [&](const std::string& model) {
-                return need.contains(model) && need[model] >= need[std::string(home)];
-            });
-            if (home.empty() || isStagedOrStaging(*host, home) || isNeededElsewhere)
-                continue;
-            bool hasRoom = input.loadsAreFree || loadsInProgress(input) < input.service.timing.concurrentLoads;
-            if (!hasRoom || !takeLoads(input, 1))
-                return;
-            m_stagings[host->id] = { std::string(home), input.now };
-            HostOrder order;
-            order.kind = OrderKind::Stage;
-            order.hostId = host->id;
-            order.model = home;
-            orders.push_back(std::move(order));
+    auto domains = freeHostsByDomain(input);
+    for (;;) {
+        std::optional<FirstModel> best;
+        for (const auto& [domain, hosts] : domains) {
+            for (const Host* host : hosts) {
+                if (m_stagings.contains(host->id))
+                    m_awaited.insert(host->id);
+                else if (host->status.lastModel.empty() && host->status.stagedModels.empty())
+                    chooseFirstModel(input, *host, need, best);
+            }
         }
+        if (!best || !mayStage(input, input.service.timing.concurrentLoads))
+            return;
+        stage(input, *best->host, best->model, orders);
     }
 }
 
+// What the host's domain needs most, by the hosts that a replica of it still lacks there. Members of replicas of other
+// models that hold it too could give way.
+void ReplicaPlanner::chooseFirstModel(
+    const PlannerInput& input, const Host& host, const Needs& need, std::optional<FirstModel>& best) const
+{
+    for (const ModelSpec& model : input.service.models) {
+        auto holders = static_cast<double>(std::ranges::count_if(input.hosts.hosts(), [&](const auto& entry) {
+            const Host& other = entry.second;
+            bool runsIt = other.status.membership && other.status.model == model.name;
+            return other.status.domain == host.status.domain && !runsIt && isUsable(input, other.id)
+                && (hasModel(other, model.name) || isStaging(other, model.name));
+        }));
+        double value = need.at(model.name) / std::max(1.0, model.hostsPerReplica - holders);
+        if (!best || value > best->value)
+            best = FirstModel { &host, model.name, value };
+    }
+}
+
+bool ReplicaPlanner::mayStage(const PlannerInput& input, uint32_t atOnce)
+{
+    return (input.loadsAreFree || loadsInProgress(input) < atOnce) && takeLoads(input, 1);
+}
+
+void ReplicaPlanner::stage(
+    const PlannerInput& input, const Host& host, std::string_view model, std::vector<HostOrder>& orders)
+{
+    m_stagings[host.id] = { std::string(model), input.now };
+    HostOrder order;
+    order.kind = OrderKind::Stage;
+    order.hostId = host.id;
+    order.model = model;
+    orders.push_back(std::move(order));
+}
+
+// A host joins the model that it ran last at once, so its staged copy is best of another one: it can then serve either.
+// Before traffic, when loads cost nothing, this makes all hosts of the fleet exchangeable inside their domains.
+void ReplicaPlanner::stageSecondModels(const PlannerInput& input, std::vector<HostOrder>& orders)
+{
+    auto need = needs(input);
+    for (const auto& [id, host] : input.hosts.hosts()) {
+        bool isOfService = host.service == input.service.name && isUsable(input, id);
+        if (!isOfService || m_stagings.contains(id))
+            continue;
+        std::string_view model = secondModel(input, host, need);
+        if (model.empty())
+            continue;
+        if (!mayStage(input, secondModelLoads))
+            return;
+        stage(input, host, model, orders);
+    }
+}
+
+// Empty if the host has one, or ran none yet.
+std::string_view ReplicaPlanner::secondModel(const PlannerInput& input, const Host& host, const Needs& need) const
+{
+    bool isJoining = host.status.membership && host.status.membership->state == MemberState::Joining;
+    if (host.status.lastModel.empty() || isJoining)
+        return {};
+    const ModelSpec* best = nullptr;
+    for (const ModelSpec& model : input.service.models) {
+        if (model.name == host.status.lastModel)
+            continue;
+        if (isStaged(host, model.name))
+            return {};
+        if (!best || need.at(model.name) > need.at(best->name))
+            best = &model;
+    }
+    return best ? std::string_view(best->name) : std::string_view();
+}
+
+bool ReplicaPlanner::isKeptFor(std::string_view domain, std::string_view otherModel) const
+{
+    return m_shift && m_shift->domain == domain && m_shift->model != otherModel;
+}
+
+std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(
+    const PlannerInput& input, const std::vector<ReplicaView>& replicas) const
+{
+    std::map<std::string, ShiftDomain> domains;
+    for (auto& [domain, hosts] : freeHostsByDomain(input))
+        domains[domain].freeHosts = hosts;
+    for (const ReplicaView& replica : replicas) {
+        bool serves = replica.service == input.service.name && replica.head && !isDissolving(replica)
+            && replica.head->status.membership->state == MemberState::Open;
+        bool isForming = std::ranges::any_of(
+            m_formations, [&](const Formation& formation) { return formation.epoch == replica.epoch; });
+        if (serves && !isForming)
+            domains[replica.head->status.domain].replicas.push_back(&replica);
+    }
+    std::vector<ShiftDomain> result;
+    for (auto& [name, domain] : domains) {
+        domain.name = name;
+        result.push_back(std::move(domain));
+    }
+    return result;
+}
+
+// One shift at a time: what it frees shows in the needs before the next one.
+void ReplicaPlanner::shiftReplicas(const PlannerInput& input)
+{
+    if (m_shift && input.now - m_shift->begun > longestShift)
+        m_shift.reset();
+    if (m_shift || input.loadsAreFree)
+        return;
+    std::vector<ReplicaView> replicas = input.hosts.replicas();
+    auto domains = shiftDomains(input, replicas);
+    auto shift = chooseShift({ input.service, input.wanted, replicasByModel(input), domains,
+        [&](const Host& host, std::string_view model) { return hasModel(host, model); } });
+    if (!shift)
+        return;
+    for (const auto& replica : shift->replicas)
+        m_watches[replica].retiringSince = input.now;
+    m_shift = Shift { std::move(shift->domain), std::move(shift->model), input.now };
+}
+
 void ReplicaPlanner::formReplicas(const PlannerInput& input, std::vector<HostOrder>& orders)
 {
     // All idle hosts are asked, also those that are not chosen now: the next choice then finds what it needs.
@@ -526,14 +626,16 @@
         allReported = awaitReports(input, hosts) && allReported;
     if (!hasSettled(input) || (input.loadsAreFree && !allReported))
         return;
+    std::erase_if(m_stagings, [&](const auto& entry) {
+        const Host* host = input.hosts.find(entry.first);
+        return !host || isStaged(*host, entry.second.model) || input.now - entry.second.begun > longestStaging;
+    });
     m_homes.assign(input.hosts, input.service, input.wanted);
+    shiftReplicas(input);
     while (auto candidate = bestCandidate(input, needs(input))) {
         const ModelSpec& model = *candidate->model;
-        // More loads at once take longer each; the last replica may go over, as a place left empty loads nothing.
-        uint32_t limit = input.service.timing.concurrentLoads + (candidate->loads == 1 ? lastLoadsExtra : 0);
-        bool hasRoom = input.loadsAreFree || candidate->loads == 0 || loadsInProgress(input) < limit;
         // A choice that waits for a report of one of its hosts is better than the next best one.
-        if (!hasRoom || !awaitReports(input, candidate->members) || !takeLoads(input, candidate->loads))
+        if (!awaitReports(input, candidate->members))
             return;
         Formation formation;
         formation.epoch = m_nextEpoch++;
@@ -543,15 +645,18 @@
         for (const Host* host : candidate->members) {
             formation.members.push_back(host->id);
             formation.joins[host->id].expectedOrders = *m_orderCounts.known(input.hosts, host->id);
-            if (!isStagedOrStaging(*host, model.name))
+            if (!hasModel(*host, model.name))
                 formation.coldMembers.push_back(host->id);
         }
+        if (m_shift && m_shift->domain == candidate->members.front()->status.domain)
+            m_shift.reset();
         m_formations.push_back(std::move(formation));
         orderJoins(input, m_formations.back(), orders);
         for (const std::string& id : m_formations.back().members)
             m_awaited.insert(id);
     }
-    stageSpares(input, orders);
+    stageIdleHosts(input, orders);
+    stageSecondModels(input, orders);
 }
 
 void ReplicaPlanner::joinRefused(const HostOrder& order)
@@ -569,7 +674,8 @@
 void ReplicaPlanner::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime now)
 {
     m_orderCounts.ended(order, result, now);
-    if (order.kind == OrderKind::Stage && (result == OrderResult::Unfit || result == OrderResult::Gone))
+    bool hasBegun = result == OrderResult::Accepted || result == OrderResult::Holds;
+    if (order.kind == OrderKind::Stage && !hasBegun)
         m_stagings.erase(order.hostId);
     if (order.kind == OrderKind::Join && result == OrderResult::Unfit)
         joinRefused(order);
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -6,6 +6,7 @@
 #include "fleet/hostorder.h"
 #include "fleet/hosttable.h"
 #include "fleet/ordercounts.h"
+#include "fleet/replicashift.h"
 
 #include <cstdint>
 #include <functional>
@@ -93,6 +94,7 @@
     // A replica as long as any host says that it is a member.
     struct Watch {
         bool isDissolving = false;
+        std::optional<MonotonicTime> retiringSince; // Its hosts are to serve another model.
         std::string headId;
         std::optional<MonotonicTime> closeSent;
         std::optional<MonotonicTime> leaveSent;
@@ -111,10 +113,22 @@
         std::string model;
         MonotonicTime begun;
     };
+    // A replica that others give way to; until it begins to form, free hosts of the domain are kept for it.
+    struct Shift {
+        std::string domain;
+        std::string model;
+        MonotonicTime begun;
+    };
     struct Candidate {
         const ModelSpec* model = nullptr;
         std::vector<const Host*> members;
-        uint32_t loads = 0; // Members that must load from the weight store.
+        double value = 0;
+    };
+
+    // A load for a host that holds no model yet.
+    struct FirstModel {
+        const Host* host = nullptr;
+        std::string_view model;
         double value = 0;
     };
 
@@ -135,9 +149,17 @@
     std::optional<Candidate> candidateIn(
         const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const Needs&) const;
     uint32_t loadsInProgress(const PlannerInput&) const;
-    void stageSpares(const PlannerInput&, std::vector<HostOrder>&);
+    void shiftReplicas(const PlannerInput&);
+    std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const std::vector<ReplicaView>&) const;
+    bool isKeptFor(std::string_view domain, std::string_view otherModel) const;
+    void stageIdleHosts(const PlannerInput&, std::vector<HostOrder>&);
+    void chooseFirstModel(const PlannerInput&, const Host&, const Needs&, std::optional<FirstModel>& best) const;
+    void stageSecondModels(const PlannerInput&, std::vector<HostOrder>&);
+    std::string_view secondModel(const PlannerInput&, const Host&, const Needs&) const;
+    bool mayStage(const PlannerInput&, uint32_t atOnce);
+    void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
     bool hasSettled(const PlannerInput&);
-    bool isStagedOrStaging(const Host&, std::string_view model) const;
+    bool isStaging(const Host&, std::string_view model) const;
     std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
     bool isIdle(const PlannerInput&, const Host&) const;
@@ -154,6 +176,7 @@
     std::map<std::string, Staging, std::less<>> m_stagings; // By host.
     OrderCounts m_orderCounts;
     DomainHomes m_homes;
+    std::optional<Shift> m_shift;
     std::set<std::string, std::less<>> m_awaited;
     std::optional<MonotonicTime> m_firstSeen; // Of any host; and since when their number stays the same.
     MonotonicTime m_countSince {};
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -37,6 +37,7 @@
         , retries(s.retryLimits(), monotonicNow())
         , log(s.logDescriptor, s.name)
         , random(seededFromSystem())
+        , incarnation(random() >> 12) // Fits into a JSON number of every reader.
     {
     }
 
@@ -52,6 +53,7 @@
     Metrics metrics;
     EventLog log;
     Random random;
+    uint64_t incarnation; // Of this life of the process.
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
     // The longest patience that callers of a route came with: one who comes with less has waited before.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,7 +49,7 @@
     , m_peers(
           m_context, [this](PeerDigest& digest) { fillDigest(digest); },
           [this](const PeerDigest& digest) { takeDigest(digest); })
-    , m_lease(m_context, m_health)
+    , m_lease(m_context, m_health, m_peers)
     , m_controller(m_context, m_lease, m_peers)
     , m_configFollower(m_context, m_health, LogName::OperatorsConfig, configPace, configHandlers())
     , m_hostFollower(m_context, m_health, LogName::BackendServers, hostPace, hostHandlers())
@@ -219,6 +219,7 @@
 void Gateway::fillDigest(PeerDigest& digest) const
 {
     digest.isReady = isReady();
+    digest.controllerTerm = m_lease.term();
     MonotonicTime now = m_context.now();
     for (const auto& [id, at] : m_stoodStillAt) {
         if (now - at < tellStandingStillFor)
@@ -233,6 +234,7 @@
 {
     if (!digest.configText.empty())
         adoptConfig(digest.configText, digest.name);
+    m_lease.heardOfTerm(digest.controllerTerm);
     for (const ReportedStatus& reported : digest.reported)
         m_context.hosts.reported(reported.hostId, reported.status, m_context.now() - reported.age);
     for (const std::string& id : digest.standingStill)
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -14,7 +14,10 @@
     // The holder stops by itself this long after it sent its last successful claim, and others wait longer, counted
     // from when they read it: the difference covers an order that is just being sent.
     constexpr Milliseconds holderLease { 2600 };
-    constexpr Milliseconds takeOverAfter { 3200 };
+    constexpr Milliseconds takeOverFromHeard { 3200 };
+    // A holder that no digest came from for over a second has most likely ended; it renews every second. Two killed
+    // controllers a day leave lost replicas alone for a second and a half less each.
+    constexpr Milliseconds takeOverFromSilent { 1700 };
     constexpr Milliseconds claimTimeout { 1000 };
     constexpr Milliseconds step { 100 };
     // After a claim that failed: the store is away, or another node was first and its record is on the way.
@@ -34,12 +37,13 @@
         std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
-ControllerLease::ControllerLease(GatewayContext& context, StoreHealth& health)
+ControllerLease::ControllerLease(GatewayContext& context, StoreHealth& health, const Peers& peers)
     : m_context(context)
     , m_health(health)
+    , m_peers(peers)
     , m_follower(context, health, LogName::Controller, controllerPace,
           { [] {}, [this](const LogRecord& record) { take(record); }, [] {} })
-    , m_self(fmt::format("{}/{:x}", context.settings.name, context.random()))
+    , m_self(lifeName(context.settings.name, context.incarnation))
     , m_seenAt(bootNow())
 {
 }
@@ -61,8 +65,9 @@
 
 std::optional<uint64_t> ControllerLease::fencing() const
 {
-    bool isHolder = m_holder == m_self && bootNow() - m_validFrom < holderLease && m_fencedTerm != m_term;
-    return isHolder && !m_isReleased ? std::optional(m_term + 1) : std::nullopt;
+    bool isHolder = m_holder == m_self && !m_isReleased && m_fencedTerm != m_term && m_newestHeard <= m_term;
+    bool isValid = bootNow() - m_validFrom < holderLease || (m_storeIsAway && m_peers.aliveCount() > 0);
+    return isHolder && isValid ? std::optional(m_term + 1) : std::nullopt;
 }
 
 void ControllerLease::fencedOff(uint64_t fencing)
@@ -71,6 +76,11 @@
     m_context.log.write("controller_fenced", { { "fencing", fencing } });
 }
 
+Milliseconds ControllerLease::takeOverAfter() const
+{
+    return m_peers.hears(m_holder) ? takeOverFromHeard : takeOverFromSilent;
+}
+
 asio::awaitable<void> ControllerLease::run()
 {
     for (;;) {
@@ -83,11 +93,11 @@
         // A node that the store turns away sees no renewals either; that is no reason to take over.
         if (!isOwn && !m_health.isServing())
             continue;
-        if (isOwn ? waited >= renewEvery : (isFree || waited >= takeOverAfter)) {
+        if (isOwn ? waited >= renewEvery : (isFree || waited >= takeOverAfter())) {
             if (!isOwn)
                 co_await pause(std::chrono::duration_cast<Milliseconds>(
                     std::chrono::duration<double, std::milli>(claimSpreadMs * m_context.draw())));
-            bool isStillDue = isOwn || m_holder.empty() || bootNow() - m_seenAt >= takeOverAfter;
+            bool isStillDue = isOwn || m_holder.empty() || bootNow() - m_seenAt >= takeOverAfter();
             if (isStillDue && m_context.hostsListed)
                 co_await claim(false);
         }
@@ -105,11 +115,13 @@
     auto offset = response ? m_context.platform.appendedAt(*response) : Settled<uint64_t>(std::get<Error>(answer));
     if (auto* error = std::get_if<Error>(&offset)) {
         m_context.log.write("claim_failed", { { "problem", describe(*error) } });
+        m_storeIsAway = error->code != ErrorCode::Stale;
         co_await pause(claimPause);
         co_return;
     }
     // The reader sees the record itself within a moment; until then the lease does not count.
     m_validFrom = sentAt;
+    m_storeIsAway = false;
 }
 
 asio::awaitable<void> ControllerLease::release()
--- a/src/gateway/lease.h
+++ b/src/gateway/lease.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "gateway/context.h"
+#include "gateway/peers.h"
 #include "gateway/storeclient.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -14,12 +16,14 @@
 // be controller from there on; a claim is only appended where the log ends as its writer read it, so of two that race
 // one fails. The offset of a holder's first record is its fencing number: hosts refuse what a later holder forbade.
 //
-// Time is that of the boot clock, which also counts a suspended host's sleep.
+// While the store is away nobody can claim, so the holder goes on as long as it hears peers and none of them read of a
+// later holder. Two that act at once for a moment waste orders and break nothing: hosts refuse the earlier one's, and
+// joins are conditional. Time is that of the boot clock, which also counts a suspended host's sleep.
 class ControllerLease {
 public:
     using BootTime = std::chrono::milliseconds;
 
-    ControllerLease(GatewayContext&, StoreHealth&);
+    ControllerLease(GatewayContext&, StoreHealth&, const Peers&);
 
     asio::awaitable<void> follow() { return m_follower.run(); }
     asio::awaitable<void> run();
@@ -31,15 +35,20 @@
     // A host obeys a later controller: this term is over, whatever the clock says.
     void fencedOff(uint64_t fencing);
     const std::string& holder() const { return m_holder; }
+    // For digests: the offset of the newest holder's first record.
+    uint64_t term() const { return m_term; }
+    void heardOfTerm(uint64_t term) { m_newestHeard = std::max(m_newestHeard, term); }
 
     static BootTime bootNow();
 
 private:
     void take(const LogRecord&);
     asio::awaitable<void> claim(bool isRelease);
+    Milliseconds takeOverAfter() const;
 
     GatewayContext& m_context;
     const StoreHealth& m_health;
+    const Peers& m_peers;
     LogFollower m_follower;
     std::string m_self; // This life of this node.
     std::string m_holder;
@@ -47,6 +56,8 @@
     BootTime m_seenAt {}; // When the holder's latest record was read here.
     BootTime m_validFrom {}; // Own lease: when the latest claim that succeeded was sent.
     std::optional<uint64_t> m_fencedTerm;
+    uint64_t m_newestHeard = 0; // Term that a peer read of.
+    bool m_storeIsAway = false; // By the latest claim.
     bool m_isReleased = false;
 };
 
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerdigest.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -41,6 +42,8 @@
 
 }
 
+std::string lifeName(std::string_view node, uint64_t incarnation) { return fmt::format("{}/{:x}", node, incarnation); }
+
 void addTransit(PeerDigest& digest, std::optional<Milliseconds> atMost)
 {
     if (!atMost)
@@ -54,8 +57,8 @@
     json result { { "name", digest.name }, { "incarnation", digest.incarnation }, { "callers", digest.callers },
         { "peers", digest.peers }, { "zone", digest.zone }, { "stopping", digest.isStopping },
         { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
-        { "in_flight", digest.inFlight }, { "waiting", digest.waiting }, { "still", digest.standingStill },
-        { "known", digest.knownPeers } };
+        { "term", digest.controllerTerm }, { "in_flight", digest.inFlight }, { "waiting", digest.waiting },
+        { "still", digest.standingStill }, { "known", digest.knownPeers } };
     if (!digest.configText.empty())
         result["config_text"] = digest.configText;
     for (const auto& reported : digest.reported)
@@ -77,6 +80,7 @@
         digest.isReady = entry.at("ready").get<bool>();
         digest.anyCallSeen = entry.at("calls_seen").get<bool>();
         digest.configVersion = entry.at("config").get<uint64_t>();
+        digest.controllerTerm = entry.at("term").get<uint64_t>();
         digest.configText = entry.value("config_text", "");
         digest.inFlight = entry.at("in_flight").get<std::map<std::string, uint32_t, std::less<>>>();
         digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -28,6 +28,7 @@
     bool isStopping = false;
     bool isReady = false;
     bool anyCallSeen = false;
+    uint64_t controllerTerm = 0; // The newest that it read of; see ControllerLease.
     uint64_t configVersion = 0;
     std::string configText; // Only to a node that has an older one.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host.
@@ -37,6 +38,9 @@
     std::vector<ReportedStatus> reported;
 };
 
+// One life of a node, as the controller's log names it.
+std::string lifeName(std::string_view node, uint64_t incarnation);
+
 // For a digest that arrived: what it says of hosts is older by the time it was on its way. A digest that came as a
 // question may have been held up for as long as a partition lasted, so its reports go (nothing given); one that came as
 // an answer is no older than the question.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -30,7 +30,6 @@
     : m_context(context)
     , m_fill(std::move(fill))
     , m_take(std::move(take))
-    , m_incarnation(context.random() >> 12) // Fits into a JSON number of every reader.
 {
     for (const Address& seed : context.settings.seedAddresses())
         addKnown(seed);
@@ -161,7 +160,7 @@
 {
     PeerDigest digest;
     digest.name = m_context.settings.name;
-    digest.incarnation = m_incarnation;
+    digest.incarnation = m_context.incarnation;
     digest.callers = m_context.settings.callers.toString();
     digest.peers = m_context.settings.peers.toString();
     digest.zone = m_context.settings.zone;
@@ -215,6 +214,14 @@
     return result;
 }
 
+bool Peers::hears(std::string_view life) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto& entry) {
+        const PeerDigest& digest = entry.second.digest;
+        return isAlive(entry.second) && lifeName(digest.name, digest.incarnation) == life;
+    });
+}
+
 size_t Peers::aliveCount() const
 {
     return static_cast<size_t>(
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -30,6 +30,8 @@
     // Addresses where other nodes that are alive and take requests do so.
     std::vector<std::string> callerAddresses(std::string_view zone) const;
     size_t aliveCount() const;
+    // Whether this life of a node, as lifeName() gives it, told something lately.
+    bool hears(std::string_view life) const;
     void addKnown(const Address&);
     // Visits the digests of peers that are alive.
     template <typename Visit> void forEachAlive(Visit&& visit) const
@@ -59,7 +61,6 @@
     GatewayContext& m_context;
     FillDigest m_fill;
     TakeDigest m_take;
-    uint64_t m_incarnation;
     std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
 };
 
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -87,6 +87,23 @@
     EXPECT_EQ(epochOfA(table), 2u);
 }
 
+// It joins that model again at once, also if it runs none now.
+TEST(HostTable, RemembersTheModelThatAHostRanLast)
+{
+    HostTable table;
+    HostStatus member = memberOf(1, MemberState::Ready);
+    member.model = "large";
+    table.listed(hostWith(member), start);
+    table.reported("a", HostStatus { 4, {}, {}, {}, {}, {} }, start + Milliseconds(100));
+    EXPECT_FALSE(table.find("a")->status.membership);
+    EXPECT_EQ(table.find("a")->status.lastModel, "large");
+    table.listed(hostWith({}), start + Milliseconds(3000));
+    EXPECT_EQ(table.find("a")->status.lastModel, "large");
+    table.unlisted("a");
+    table.listed(hostWith({}), start + Milliseconds(4000));
+    EXPECT_EQ(table.find("a")->status.lastModel, "") << "an entry that lapsed may hide a restart";
+}
+
 TEST(HostTable, IgnoresALateReport)
 {
     HostTable table;
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -81,8 +81,13 @@
         switch (order.kind) {
         case OrderKind::Join: {
             auto place = std::ranges::find(order.members, order.hostId);
+            bool isLoaded = status.lastModel != order.model
+                && std::ranges::find(status.stagedModels, order.model) == status.stagedModels.end();
+            if (isLoaded) {
+                ++loadsByJoin;
+                status.stagedModels = { order.model };
+            }
             status.model = order.model;
-            status.stagedModels = { order.model };
             status.membership = Membership { order.replica, order.epoch,
                 static_cast<uint32_t>(place - order.members.begin()), MemberState::Ready };
             break;
@@ -94,6 +99,7 @@
             status.membership->state = order.kind == OrderKind::Open ? MemberState::Open : MemberState::Closing;
             break;
         case OrderKind::Stage:
+            ++loadsByStage;
             status.stagedModels = { order.model };
             break;
         case OrderKind::Leave:
@@ -133,6 +139,8 @@
     bool loadsAreFree = true;
     std::function<OrderResult(const HostOrder&)> obey = [this](const HostOrder& order) { return carryOut(order); };
     std::vector<HostOrder> orders;
+    int loadsByJoin = 0; // From the weight store.
+    int loadsByStage = 0;
     MonotonicTime now { std::chrono::hours(1) };
 };
 
--- /dev/null
+++ b/tests/fleet/replicashift_test.cpp
@@ -0,0 +1,107 @@
+#include "fleet/replicashift.h"
+
+#include "fleet/plannerworld.h"
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Hosts of two domains as a test places them. Every host holds both models unless it is named in `cold`.
+    class ReplicaShiftTest : public testing::Test {
+    protected:
+        ReplicaShiftTest() { m_service.models = { modelOf("large", 4), modelOf("small", 2) }; }
+
+        void addReplica(const std::string& domain, const std::string& model)
+        {
+            ReplicaView& replica = m_replicas[domain].emplace_back();
+            replica.epoch = ++m_epoch;
+            replica.name = domain + "-" + std::to_string(m_epoch);
+            replica.model = model;
+            for (uint32_t i = 0; i < m_service.model(model)->hostsPerReplica; ++i)
+                replica.members.push_back(addHost());
+            replica.head = replica.members.front();
+            ++m_have[model];
+        }
+
+        const Host* addHost()
+        {
+            auto host = std::make_unique<Host>();
+            host->id = std::to_string(m_hosts.size());
+            m_hosts.push_back(std::move(host));
+            return m_hosts.back().get();
+        }
+
+        std::optional<ReplicaShift> choose()
+        {
+            std::vector<ShiftDomain> domains;
+            for (const char* name : { "d1", "d2" }) {
+                ShiftDomain& domain = domains.emplace_back();
+                domain.name = name;
+                domain.freeHosts = m_free[name];
+                for (const ReplicaView& replica : m_replicas[name])
+                    domain.replicas.push_back(&replica);
+            }
+            return chooseShift({ m_service, m_wanted, m_have, domains,
+                [this](const Host& host, std::string_view) { return !m_cold.contains(host.id); } });
+        }
+
+        ServiceSpec m_service;
+        std::map<std::string, double, std::less<>> m_wanted { { "large", 2 }, { "small", 3 } };
+        std::map<std::string, std::vector<ReplicaView>> m_replicas;
+        std::map<std::string, std::vector<const Host*>> m_free;
+        std::map<std::string, uint32_t> m_have;
+        std::set<std::string> m_cold;
+
+    private:
+        std::vector<std::unique_ptr<Host>> m_hosts;
+        uint64_t m_epoch = 0;
+    };
+
+}
+
+// A large replica lost one of its four hosts: with one pair that gives way, the other three serve again.
+TEST_F(ReplicaShiftTest, TakesTheFewestReplicasThatAreEnough)
+{
+    for (const char* domain : { "d1", "d1", "d1", "d2", "d2", "d2" })
+        addReplica(domain, "small");
+    m_free["d2"] = { addHost(), addHost(), addHost() };
+    auto shift = choose();
+    ASSERT_TRUE(shift);
+    EXPECT_EQ(shift->domain, "d2");
+    EXPECT_EQ(shift->model, "large");
+    EXPECT_EQ(shift->replicas.size(), 1u);
+}
+
+TEST_F(ReplicaShiftTest, TakesNothingFromAModelThatIsAsShort)
+{
+    for (const char* domain : { "d1", "d1", "d2", "d2" })
+        addReplica(domain, "small");
+    m_wanted = { { "large", 2 }, { "small", 9 } };
+    EXPECT_FALSE(choose()) << "with two fewer, small would need one as much";
+    m_wanted = { { "large", 0.9 }, { "small", 0.1 } };
+    EXPECT_FALSE(choose()) << "the traffic would not fill one";
+}
+
+// A load from the weight store takes a tenfold of the time, and both models would go without the hosts meanwhile.
+TEST_F(ReplicaShiftTest, CountsOnlyHostsThatHoldTheModel)
+{
+    for (const char* domain : { "d1", "d1", "d1" })
+        addReplica(domain, "small");
+    m_wanted["small"] = 1;
+    m_cold = { "0", "2" };
+    EXPECT_FALSE(choose());
+    m_cold = { "0" };
+    auto shift = choose();
+    ASSERT_TRUE(shift);
+    EXPECT_EQ(shift->replicas.size(), 2u);
+}
+
+TEST_F(ReplicaShiftTest, LeavesFreeHostsToThemselves)
+{
+    addReplica("d1", "small");
+    m_free["d2"] = { addHost(), addHost(), addHost(), addHost() };
+    EXPECT_FALSE(choose());
+}
+
+} // namespace Kumquatpick
--- a/tests/gateway/peerdigest_test.cpp
+++ b/tests/gateway/peerdigest_test.cpp
@@ -16,6 +16,7 @@
     digest.isStopping = true;
     digest.anyCallSeen = true;
     digest.configVersion = 9;
+    digest.controllerTerm = 31;
     digest.configText = "{\"version\":9}";
     digest.inFlight = { { "host-a", 3 } };
     digest.waiting = { { "large", 1.5 } };
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -289,6 +289,62 @@
     })) << "it knows the routes from its peer";
 }
 
+// The store is away for longer than a lease, and nobody else can have claimed it: what is lost meanwhile is replaced.
+TEST_F(GatewayTest, ReplacesALostReplicaWhileTheStoreIsAway)
+{
+    startServing(3, 0);
+    TestNode second("node-2", m_store.address(), m_node->peers().toString());
+    httplib::Client client("127.0.0.1", second.callers().port);
+    ASSERT_TRUE(eventually([&] {
+        auto answer = client.Post("/nowhere/x", headers(), "", "text/plain");
+        return answer && answer->status == 404;
+    }));
+    StandinHost* head = openHeads()[0];
+    auto isSpare = [](const auto& host) { return !host->isMember(); };
+    StandinHost* spare = std::ranges::find_if(m_hosts, isSpare)->get();
+    auto isOther = [&](const auto& host) { return host.get() != head && host.get() != spare; };
+    StandinHost* member = std::ranges::find_if(m_hosts, isOther)->get();
+    m_store.isDown = true;
+    std::this_thread::sleep_for(3s); // The lease of the controller, whichever node it is, would be over.
+    int sentBefore = head->eventsSent;
+    std::thread caller([&] { call("/story/x"); });
+    ASSERT_TRUE(eventually([&] { return head->eventsSent >= sentBefore + 3; }));
+    head->standsStill = true;
+    member->isLost = true;
+    EXPECT_TRUE(eventually([&] { return spare->isMember() && openHeads().size() == 1; }));
+    head->standsStill = false;
+    caller.join();
+}
+
+// Orders that nobody answers are given again; whichever comes second is refused, as the host has accepted one since.
+TEST_F(GatewayTest, JoinsEachHostOnceAlthoughOrdersAreCarriedOutLate)
+{
+    publish(1);
+    addHosts(2, false);
+    for (auto& host : m_hosts)
+        host->ordersToDelay = 1;
+    m_node = std::make_unique<TestNode>("node-1", m_store.address());
+    ASSERT_TRUE(eventually([&] { return openHeads().size() == 1; }));
+    std::this_thread::sleep_for(2s); // The late ones arrive.
+    EXPECT_EQ(openHeads().size(), 1u);
+    for (auto& host : m_hosts)
+        EXPECT_EQ(host->joins, 1);
+}
+
+TEST_F(GatewayTest, SendsNothingToAHostWhoseEntryLapsed)
+{
+    startServing(0, 2);
+    m_hosts[0]->lapse();
+    ASSERT_TRUE(eventually([&] {
+        m_hosts[0]->runs = 0;
+        for (int i = 0; i < 12; ++i)
+            status("/again/x");
+        return m_hosts[0]->runs == 0;
+    }));
+    m_hosts[0]->announce();
+    EXPECT_TRUE(eventually([&] { return status("/again/x") == 200 && m_hosts[0]->runs > 0; }));
+}
+
 // A claim that was written although its answer was lost is seen when the log is read.
 TEST_F(GatewayTest, ControlsReplicasDespiteLostAnswersOfTheStore)
 {
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -12,6 +12,8 @@
     using nlohmann::json;
     using namespace std::chrono_literals;
 
+    constexpr auto orderDelay = 1500ms; // Longer than the gateway waits for an order's answer.
+
     void writeJson(httplib::Response& response, int status, const json& body)
     {
         response.status = status;
@@ -150,6 +152,12 @@
     : m_store(store)
     , m_options(std::move(options))
 {
+    m_http.set_pre_routing_handler([this](const auto&, auto& response) {
+        if (!isLost)
+            return httplib::Server::HandlerResponse::Unhandled;
+        response.status = 500;
+        return httplib::Server::HandlerResponse::Handled;
+    });
     m_http.Post("/order", [this](const auto& request, auto& response) { order(request, response); });
     m_http.Get("/report", [this](const auto&, auto& response) { writeJson(response, 200, report(false)); });
     m_http.Post(".*", [this](const auto& request, auto& response) { serve(request, response); });
@@ -166,6 +174,14 @@
 
 void StandinHost::announce() { m_store.put("keyed.servers", m_options.id, report(true).dump()); }
 
+void StandinHost::lapse() { m_store.put("keyed.servers", m_options.id, ""); }
+
+bool StandinHost::isMember()
+{
+    std::lock_guard lock(m_mutex);
+    return !m_state.empty();
+}
+
 bool StandinHost::isOpenHead()
 {
     std::lock_guard lock(m_mutex);
@@ -196,6 +212,10 @@
 void StandinHost::order(const httplib::Request& request, httplib::Response& response)
 {
     json body = json::parse(request.body);
+    if (ordersToDelay > 0) {
+        --ordersToDelay;
+        std::this_thread::sleep_for(orderDelay);
+    }
     {
         std::lock_guard lock(m_mutex);
         if (request.get_header_value("Target-Instance") != m_options.id)
@@ -217,6 +237,7 @@
             m_epoch = epoch;
             m_model = m_staged = body["modelId"];
             m_state = "ready";
+            ++joins;
         } else if (operation == "phase") {
             m_staged = body["modelId"];
         } else if (!isMember) {
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -78,7 +78,10 @@
     // Tells the store its state.
     void announce();
     std::string id() const { return m_options.id; }
+    // Its entry goes, as after some heartbeats without a word; announce() brings it back.
+    void lapse();
     bool isOpenHead();
+    bool isMember();
     std::atomic<int> runs { 0 }; // Requests that it ran.
     std::atomic<int> eventsSent { 0 };
     std::atomic<int> cutOff { 0 }; // Streams whose reader left before the end.
@@ -86,6 +89,9 @@
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
     std::atomic<bool> standsStill { false }; // Streams stop in the middle.
     std::atomic<bool> isDraining { false };
+    std::atomic<bool> isLost { false }; // Tells nothing of itself and obeys nothing.
+    std::atomic<int> ordersToDelay { 0 }; // Carried out after their sender has given them up.
+    std::atomic<int> joins { 0 }; // That it began.
 
     static constexpr int eventsPerStream = 12;
 
