--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -3,9 +3,11 @@
 #include "base/address.h"
 #include "base/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Kumquatpick {
@@ -39,6 +41,13 @@
     std::vector<std::string> stagedModels; // Copies on the host, loaded in the model's warmLoad.
     std::optional<Membership> membership;
     std::string domain; // Hosts of one domain form fast replicas.
+
+    bool isStaged(std::string_view wanted) const
+    {
+        return std::ranges::find(stagedModels, wanted) != stagedModels.end();
+    }
+    // It joins the model without a load from the weight store.
+    bool holds(std::string_view wanted) const { return lastModel == wanted || isStaged(wanted); }
 };
 
 // One life of a backend server. Its id never comes again; its address may, for another service.
--- /dev/null
+++ b/src/fleet/modelstaging.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "fleet/hostorder.h"
+#include "fleet/plannerinput.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Kumquatpick {
+
+// Which hosts load which model from the weight store onto themselves, beside whatever they do. The weight store fills a
+// few hosts at once and takes twelve to sixteen seconds for each, so the order decides how much of the fleet serves.
+//
+// A host joins the model that it ran last at once, so its staged copy is best of another one: it can then serve either.
+// Before traffic, when loads cost nothing, this makes all hosts exchangeable inside their domains. Not thread-safe.
+class ModelStaging {
+public:
+    // Adds orders. freeHosts: those that belong to no replica; otherLoads: in progress for replicas that form.
+    void plan(const PlannerInput&, const ModelNeeds&, const HostsByDomain& freeHosts, uint32_t otherLoads,
+        std::vector<HostOrder>& orders);
+    void orderEnded(const HostOrder&, OrderResult);
+
+    uint32_t loads() const { return static_cast<uint32_t>(m_stagings.size()); }
+    // Idle hosts whose own reports tell when they are done.
+    const std::set<std::string, std::less<>>& awaited() const { return m_awaited; }
+
+private:
+    struct Staging {
+        std::string model;
+        MonotonicTime begun;
+    };
+    // A load for a host that holds no model yet.
+    struct FirstModel {
+        const Host* host = nullptr;
+        std::string_view model;
+        double value = 0;
+    };
+
+    void dropEnded(const PlannerInput&);
+    void stageIdleHosts(const PlannerInput&, const ModelNeeds&, const HostsByDomain&, std::vector<HostOrder>&);
+    void chooseFirstModel(const PlannerInput&, const Host&, const ModelNeeds&, std::optional<FirstModel>& best) const;
+    void stageSecondModels(const PlannerInput&, const ModelNeeds&, std::vector<HostOrder>&);
+    bool isStaging(const Host&, std::string_view model) const;
+    bool mayLoad(const PlannerInput&, uint32_t atOnce);
+    void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
+
+    std::map<std::string, Staging, std::less<>> m_stagings; // By host.
+    std::set<std::string, std::less<>> m_awaited;
+    uint32_t m_otherLoads = 0;
+    double m_loadTokens = 0;
+    std::optional<MonotonicTime> m_loadTokensAt;
+};
+
+} // namespace Kumquatpick
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -28,23 +28,14 @@
     // Replicas that give way finish what they have for this long; what is longer goes on elsewhere.
     constexpr Milliseconds retireGrace { 600 };
     constexpr Milliseconds longestShift { 5000 };
-    // Of the weight store's loads, for second models: cold hosts go first.
-    constexpr uint32_t secondModelLoads = 2;
-    constexpr Milliseconds longestStaging { 60'000 };
     // At the very start hosts appear in the list one by one; where each model is at home is settled once they have.
     constexpr Milliseconds settledAfter { 600 };
     constexpr Milliseconds longestSettling { 2500 };
-    constexpr double loadBurst = 5;
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
     bool isSilent(HostContact contact) { return contact == HostContact::Silent || contact == HostContact::SilentToAll; }
 
-    bool isStaged(const Host& host, std::string_view model)
-    {
-        return std::ranges::find(host.status.stagedModels, model) != host.status.stagedModels.end();
-    }
-
     // An order that concerns one membership and does nothing to any other.
     HostOrder membershipOrder(OrderKind kind, std::string_view hostId, std::string_view replica, uint64_t epoch)
     {
@@ -56,12 +47,6 @@
         return order;
     }
 
-    // It joins the model without a load from the weight store.
-    bool hasModel(const Host& host, std::string_view model)
-    {
-        return host.status.lastModel == model || isStaged(host, model);
-    }
-
     bool hasJoined(const Host& host, std::string_view replica, uint64_t epoch)
     {
         return host.status.membership && host.status.membership->isOf(replica, epoch);
@@ -110,22 +95,13 @@
     return orders;
 }
 
-bool ReplicaPlanner::isUsable(const PlannerInput& input, std::string_view hostId) const
-{
-    const Host* host = input.hosts.find(hostId);
-    if (!host || host->draining)
-        return false;
-    HostContact contact = input.contact(hostId);
-    return contact == HostContact::Unknown || contact == HostContact::Answers;
-}
-
 void ReplicaPlanner::advanceFormation(const PlannerInput& input, Formation& formation, std::vector<HostOrder>& orders)
 {
     const ModelSpec* model = input.service.model(formation.model);
     // Each is a member already or may become one; another controller may have taken one that refused its join.
     bool isWhole = std::ranges::all_of(formation.members, [&](const auto& id) {
         const Host* host = input.hosts.find(id);
-        return isUsable(input, id) && (hasJoined(*host, formation.replica, formation.epoch) || isIdle(input, *host));
+        return input.isUsable(id) && (hasJoined(*host, formation.replica, formation.epoch) || isIdle(input, *host));
     });
     bool isLate = !model || input.now - formation.begun > model->load * longestLoads + formationMargin;
     if (!isWhole || isLate || formation.failed) {
@@ -249,7 +225,7 @@
     const PlannerInput& input, const ReplicaView& replica, Watch& watch, std::vector<HostOrder>& orders)
 {
     for (const Host* member : replica.members) {
-        if (member->id == watch.headId || !isUsable(input, member->id))
+        if (member->id == watch.headId || !input.isUsable(member->id))
             continue;
         m_awaited.insert(member->id);
         if (takeOrderTurn(watch.memberLeaveSent[member->id], input.now))
@@ -322,7 +298,7 @@
 // Member of no replica that may still serve, as far as is known.
 bool ReplicaPlanner::isIdle(const PlannerInput& input, const Host& host) const
 {
-    if (host.service != input.service.name || !isUsable(input, host.id))
+    if (host.service != input.service.name || !input.isUsable(host.id))
         return false;
     if (!host.status.membership)
         return true;
@@ -330,9 +306,9 @@
     return watch != m_watches.end() && watch->second.isDissolving && watch->second.headIsOut;
 }
 
-std::map<std::string, std::vector<const Host*>> ReplicaPlanner::freeHostsByDomain(const PlannerInput& input) const
+HostsByDomain ReplicaPlanner::freeHostsByDomain(const PlannerInput& input) const
 {
-    std::map<std::string, std::vector<const Host*>> result;
+    HostsByDomain result;
     for (const auto& [id, host] : input.hosts.hosts()) {
         if (isFree(input, host))
             result[host.status.domain].push_back(&host);
@@ -371,7 +347,7 @@
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
-    summary.loads = loadsInProgress(input);
+    summary.loads = m_staging.loads() + loadsOfFormations(input);
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         summary.freeHosts += hosts.size();
         auto& staged = summary.freeByDomain[fmt::format("{} ({})", domain, m_homes.homeOf(domain))];
@@ -381,24 +357,10 @@
     return summary;
 }
 
-bool ReplicaPlanner::takeLoads(const PlannerInput& input, size_t loads)
-{
-    if (input.loadsAreFree || loads == 0)
-        return true;
-    double elapsed = m_loadTokensAt ? toSeconds(input.now - *m_loadTokensAt) : loadBurst;
-    m_loadTokensAt = input.now;
-    m_loadTokens = std::min(loadBurst, m_loadTokens + elapsed * input.service.timing.loadsPerSecond);
-    if (m_loadTokens < static_cast<double>(std::min<size_t>(loads, static_cast<size_t>(loadBurst))))
-        return false;
-    m_loadTokens -= static_cast<double>(loads);
-    return true;
-}
-
-// How full a model's replicas would be with one more: what the next one is worth.
-ReplicaPlanner::Needs ReplicaPlanner::needs(const PlannerInput& input) const
+ModelNeeds ReplicaPlanner::needs(const PlannerInput& input) const
 {
     auto have = replicasByModel(input);
-    Needs result;
+    ModelNeeds result;
     for (const ModelSpec& model : input.service.models) {
         auto wanted = input.wanted.find(model.name);
         result[model.name] = wanted == input.wanted.end() ? 0 : wanted->second / (1 + have[model.name]);
@@ -406,9 +368,9 @@
     return result;
 }
 
-uint32_t ReplicaPlanner::loadsInProgress(const PlannerInput& input) const
+uint32_t ReplicaPlanner::loadsOfFormations(const PlannerInput& input) const
 {
-    auto count = static_cast<uint32_t>(m_stagings.size());
+    uint32_t count = 0;
     for (const Formation& formation : m_formations) {
         count += static_cast<uint32_t>(std::ranges::count_if(formation.coldMembers, [&](const std::string& id) {
             const Host* host = input.hosts.find(id);
@@ -423,19 +385,19 @@
 // Once traffic runs, only hosts that hold the model count: hosts are lost faster than the weight store fills new ones,
 // and a replica that waits for one load of sixteen seconds would keep three hosts from serving that long.
 std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
-    const std::vector<const Host*>& freeHosts, const Needs& needs) const
+    const std::vector<const Host*>& freeHosts, const ModelNeeds& needs) const
 {
     double need = needs.at(model.name);
     Candidate candidate;
     candidate.model = &model;
     std::ranges::copy_if(freeHosts, std::back_inserter(candidate.members),
-        [&](const Host* host) { return input.loadsAreFree || hasModel(*host, model.name); });
+        [&](const Host* host) { return input.loadsAreFree || host->status.holds(model.name); });
     if (candidate.members.size() < model.hostsPerReplica || need <= 0)
         return std::nullopt;
     auto cost = [&](const Host* host) {
         if (host->status.lastModel == model.name)
             return 0.0;
-        return hasModel(*host, model.name) ? warmCost : 1.0;
+        return host->status.holds(model.name) ? warmCost : 1.0;
     };
     std::ranges::stable_sort(candidate.members, {}, cost);
     candidate.members.resize(model.hostsPerReplica);
@@ -447,7 +409,7 @@
 }
 
 std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::bestCandidate(
-    const PlannerInput& input, const Needs& needs) const
+    const PlannerInput& input, const ModelNeeds& needs) const
 {
     std::optional<Candidate> best;
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
@@ -464,12 +426,6 @@
     return best;
 }
 
-bool ReplicaPlanner::isStaging(const Host& host, std::string_view model) const
-{
-    auto staging = m_stagings.find(host.id);
-    return staging != m_stagings.end() && staging->second.model == model;
-}
-
 bool ReplicaPlanner::hasSettled(const PlannerInput& input)
 {
     size_t count = input.hosts.hosts().size();
@@ -482,97 +438,6 @@
         || input.now - *m_firstSeen >= longestSettling;
 }
 
-// Idle hosts that can serve no model load the one that they bring nearest to a further replica, the nearest first.
-void ReplicaPlanner::stageIdleHosts(const PlannerInput& input, std::vector<HostOrder>& orders)
-{
-    auto need = needs(input);
-    auto domains = freeHostsByDomain(input);
-    for (;;) {
-        std::optional<FirstModel> best;
-        for (const auto& [domain, hosts] : domains) {
-            for (const Host* host : hosts) {
-                if (m_stagings.contains(host->id))
-                    m_awaited.insert(host->id);
-                else if (host->status.lastModel.empty() && host->status.stagedModels.empty())
-                    chooseFirstModel(input, *host, need, best);
-            }
-        }
-        if (!best || !mayStage(input, input.service.timing.concurrentLoads))
-            return;
-        stage(input, *best->host, best->model, orders);
-    }
-}
-
-// What the host's domain needs most, by the hosts that a replica of it still lacks there. Members of replicas of other
-// models that hold it too could give way.
-void ReplicaPlanner::chooseFirstModel(
-    const PlannerInput& input, const Host& host, const Needs& need, std::optional<FirstModel>& best) const
-{
-    for (const ModelSpec& model : input.service.models) {
-        auto holders = static_cast<double>(std::ranges::count_if(input.hosts.hosts(), [&](const auto& entry) {
-            const Host& other = entry.second;
-            bool runsIt = other.status.membership && other.status.model == model.name;
-            return other.status.domain == host.status.domain && !runsIt && isUsable(input, other.id)
-                && (hasModel(other, model.name) || isStaging(other, model.name));
-        }));
-        double value = need.at(model.name) / std::max(1.0, model.hostsPerReplica - holders);
-        if (!best || value > best->value)
-            best = FirstModel { &host, model.name, value };
-    }
-}
-
-bool ReplicaPlanner::mayStage(const PlannerInput& input, uint32_t atOnce)
-{
-    return (input.loadsAreFree || loadsInProgress(input) < atOnce) && takeLoads(input, 1);
-}
-
-void ReplicaPlanner::stage(
-    const PlannerInput& input, const Host& host, std::string_view model, std::vector<HostOrder>& orders)
-{
-    m_stagings[host.id] = { std::string(model), input.now };
-    HostOrder order;
-    order.kind = OrderKind::Stage;
-    order.hostId = host.id;
-    order.model = model;
-    orders.push_back(std::move(order));
-}
-
-// A host joins the model that it ran last at once, so its staged copy is best of another one: it can then serve either.
-// Before traffic, when loads cost nothing, this makes all hosts of the fleet exchangeable inside their domains.
-void ReplicaPlanner::stageSecondModels(const PlannerInput& input, std::vector<HostOrder>& orders)
-{
-    auto need = needs(input);
-    for (const auto& [id, host] : input.hosts.hosts()) {
-        bool isOfService = host.service == input.service.name && isUsable(input, id);
-        if (!isOfService || m_stagings.contains(id))
-            continue;
-        std::string_view model = secondModel(input, host, need);
-        if (model.empty())
-            continue;
-        if (!mayStage(input, secondModelLoads))
-            return;
-        stage(input, host, model, orders);
-    }
-}
-
-// Empty if the host has one, or ran none yet.
-std::string_view ReplicaPlanner::secondModel(const PlannerInput& input, const Host& host, const Needs& need) const
-{
-    bool isJoining = host.status.membership && host.status.membership->state == MemberState::Joining;
-    if (host.status.lastModel.empty() || isJoining)
-        return {};
-    const ModelSpec* best = nullptr;
-    for (const ModelSpec& model : input.service.models) {
-        if (model.name == host.status.lastModel)
-            continue;
-        if (isStaged(host, model.name))
-            return {};
-        if (!best || need.at(model.name) > need.at(best->name))
-            best = &model;
-    }
-    return best ? std::string_view(best->name) : std::string_view();
-}
-
 bool ReplicaPlanner::isKeptFor(std::string_view domain, std::string_view otherModel) const
 {
     return m_shift && m_shift->domain == domain && m_shift->model != otherModel;
@@ -610,7 +475,7 @@
     std::vector<ReplicaView> replicas = input.hosts.replicas();
     auto domains = shiftDomains(input, replicas);
     auto shift = chooseShift({ input.service, input.wanted, replicasByModel(input), domains,
-        [&](const Host& host, std::string_view model) { return hasModel(host, model); } });
+        [&](const Host& host, std::string_view model) { return host.status.holds(model); } });
     if (!shift)
         return;
     for (const auto& replica : shift->replicas)
@@ -626,10 +491,6 @@
         allReported = awaitReports(input, hosts) && allReported;
     if (!hasSettled(input) || (input.loadsAreFree && !allReported))
         return;
-    std::erase_if(m_stagings, [&](const auto& entry) {
-        const Host* host = input.hosts.find(entry.first);
-        return !host || isStaged(*host, entry.second.model) || input.now - entry.second.begun > longestStaging;
-    });
     m_homes.assign(input.hosts, input.service, input.wanted);
     shiftReplicas(input);
     while (auto candidate = bestCandidate(input, needs(input))) {
@@ -645,7 +506,7 @@
         for (const Host* host : candidate->members) {
             formation.members.push_back(host->id);
             formation.joins[host->id].expectedOrders = *m_orderCounts.known(input.hosts, host->id);
-            if (!hasModel(*host, model.name))
+            if (!host->status.holds(model.name))
                 formation.coldMembers.push_back(host->id);
         }
         if (m_shift && m_shift->domain == candidate->members.front()->status.domain)
@@ -655,8 +516,8 @@
         for (const std::string& id : m_formations.back().members)
             m_awaited.insert(id);
     }
-    stageIdleHosts(input, orders);
-    stageSecondModels(input, orders);
+    m_staging.plan(input, needs(input), freeHostsByDomain(input), loadsOfFormations(input), orders);
+    m_awaited.insert(m_staging.awaited().begin(), m_staging.awaited().end());
 }
 
 void ReplicaPlanner::joinRefused(const HostOrder& order)
@@ -674,9 +535,7 @@
 void ReplicaPlanner::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime now)
 {
     m_orderCounts.ended(order, result, now);
-    bool hasBegun = result == OrderResult::Accepted || result == OrderResult::Holds;
-    if (order.kind == OrderKind::Stage && !hasBegun)
-        m_stagings.erase(order.hostId);
+    m_staging.orderEnded(order, result);
     if (order.kind == OrderKind::Join && result == OrderResult::Unfit)
         joinRefused(order);
     bool hasLeft = result == OrderResult::Holds || result == OrderResult::Accepted || result == OrderResult::Gone;
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -4,8 +4,9 @@
 #include "fleet/config.h"
 #include "fleet/domainhomes.h"
 #include "fleet/hostorder.h"
-#include "fleet/hosttable.h"
+#include "fleet/modelstaging.h"
 #include "fleet/ordercounts.h"
+#include "fleet/plannerinput.h"
 #include "fleet/replicashift.h"
 
 #include <cstdint>
@@ -20,28 +21,6 @@
 
 namespace Kumquatpick {
 
-// What direct calls to a host say of its life.
-enum class HostContact : uint8_t {
-    Unknown, // Not asked lately.
-    Answers,
-    Silent, // No answer: dead, frozen or cut off.
-    SilentToAll, // No answer to any node.
-    Refused, // Nothing listens: the process has ended, or finishes its last work before it does.
-    Ended, // Another life has the address.
-};
-
-struct PlannerInput {
-    MonotonicTime now;
-    const HostTable& hosts;
-    const ServiceSpec& service;
-    // Replicas that the present traffic would fill, by model.
-    const std::map<std::string, double, std::less<>>& wanted;
-    std::function<HostContact(std::string_view hostId)> contact;
-    // Heads whose streams stand still, as nodes see it.
-    std::function<bool(std::string_view hostId)> standsStill;
-    bool loadsAreFree = false; // Before the first request.
-};
-
 // Forms, opens, closes and takes apart the replicas of one service: facts and time in, orders out. What it keeps is
 // only what it began itself; a successor rebuilds the rest from what the hosts report. Not thread-safe.
 //
@@ -109,10 +88,6 @@
         Out, // Its members are free.
     };
     using ReplicaKey = std::pair<std::string, uint64_t>;
-    struct Staging {
-        std::string model;
-        MonotonicTime begun;
-    };
     // A replica that others give way to; until it begins to form, free hosts of the domain are kept for it.
     struct Shift {
         std::string domain;
@@ -125,13 +100,6 @@
         double value = 0;
     };
 
-    // A load for a host that holds no model yet.
-    struct FirstModel {
-        const Host* host = nullptr;
-        std::string_view model;
-        double value = 0;
-    };
-
     void advanceFormation(const PlannerInput&, Formation&, std::vector<HostOrder>&);
     void orderJoins(const PlannerInput&, Formation&, std::vector<HostOrder>&);
     void abandon(const Formation&, std::vector<HostOrder>&);
@@ -143,37 +111,27 @@
     void orderMembersLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
     bool takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
-    using Needs = std::map<std::string, double, std::less<>>; // By model.
-    Needs needs(const PlannerInput&) const;
-    std::optional<Candidate> bestCandidate(const PlannerInput&, const Needs&) const;
+    ModelNeeds needs(const PlannerInput&) const;
+    std::optional<Candidate> bestCandidate(const PlannerInput&, const ModelNeeds&) const;
     std::optional<Candidate> candidateIn(
-        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const Needs&) const;
-    uint32_t loadsInProgress(const PlannerInput&) const;
+        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const ModelNeeds&) const;
+    uint32_t loadsOfFormations(const PlannerInput&) const;
     void shiftReplicas(const PlannerInput&);
     std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const std::vector<ReplicaView>&) const;
     bool isKeptFor(std::string_view domain, std::string_view otherModel) const;
-    void stageIdleHosts(const PlannerInput&, std::vector<HostOrder>&);
-    void chooseFirstModel(const PlannerInput&, const Host&, const Needs&, std::optional<FirstModel>& best) const;
-    void stageSecondModels(const PlannerInput&, std::vector<HostOrder>&);
-    std::string_view secondModel(const PlannerInput&, const Host&, const Needs&) const;
-    bool mayStage(const PlannerInput&, uint32_t atOnce);
-    void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
     bool hasSettled(const PlannerInput&);
-    bool isStaging(const Host&, std::string_view model) const;
-    std::map<std::string, std::vector<const Host*>> freeHostsByDomain(const PlannerInput&) const;
+    HostsByDomain freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
     bool isIdle(const PlannerInput&, const Host&) const;
     bool awaitReports(const PlannerInput&, const std::vector<const Host*>&);
     void joinRefused(const HostOrder&);
     bool isDissolving(const ReplicaView&) const;
     std::map<std::string, uint32_t> replicasByModel(const PlannerInput&) const;
-    bool takeLoads(const PlannerInput&, size_t loads);
-    bool isUsable(const PlannerInput&, std::string_view hostId) const;
 
     uint64_t m_nextEpoch;
     std::vector<Formation> m_formations;
     std::map<ReplicaKey, Watch> m_watches;
-    std::map<std::string, Staging, std::less<>> m_stagings; // By host.
+    ModelStaging m_staging;
     OrderCounts m_orderCounts;
     DomainHomes m_homes;
     std::optional<Shift> m_shift;
@@ -181,8 +139,6 @@
     std::optional<MonotonicTime> m_firstSeen; // Of any host; and since when their number stays the same.
     MonotonicTime m_countSince {};
     size_t m_hostCount = 0;
-    double m_loadTokens = 0;
-    std::optional<MonotonicTime> m_loadTokensAt;
 };
 
 } // namespace Kumquatpick
