Begin the first plan once hosts are listed; leave a host alone that refuses a load

Hosts appear in the list one by one for 2.2 s, the plan began after 2.5 s at the latest, and pairs of the first hosts of a domain took what the large model needed.

--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -9,6 +9,9 @@
     // Of the weight store's loads, for second models: cold hosts go first.
     constexpr uint32_t secondModelLoads = 2;
     constexpr Milliseconds longestStaging { 60'000 };
+    // A host that refuses is loading already, for an earlier controller; it may take as long as a load. One that was
+    // asked at each turn used up what other hosts might have loaded.
+    constexpr Milliseconds askAgainAfter { 3000 };
     // Loads that may begin at the same moment, of those that a few seconds allow.
     constexpr double loadBurst = 5;
 
@@ -48,6 +51,7 @@
         const Host* host = input.hosts.find(entry.first);
         return !host || host->status.isStaged(entry.second.model) || input.now - entry.second.begun > longestStaging;
     });
+    std::erase_if(m_refused, [&](const auto& entry) { return input.now - entry.second >= askAgainAfter; });
 }
 
 // Idle hosts that can serve no model load the one that they bring nearest to a further replica, the nearest first.
@@ -60,7 +64,8 @@
             for (const Host* host : hosts) {
                 if (m_stagings.contains(host->id))
                     m_awaited.insert(host->id);
-                else if (host->status.lastModel.empty() && host->status.stagedModels.empty())
+                else if (host->status.lastModel.empty() && host->status.stagedModels.empty()
+                    && !m_refused.contains(host->id))
                     chooseFirstModel(input, *host, needs, best);
             }
         }
@@ -92,7 +97,7 @@
 {
     for (const auto& [id, host] : input.hosts.hosts()) {
         bool isOfService = host.service == input.service.name && input.isUsable(id);
-        if (!isOfService || m_stagings.contains(id))
+        if (!isOfService || m_stagings.contains(id) || m_refused.contains(id))
             continue;
         std::string_view model = secondModel(input.service, host, needs);
         if (model.empty())
@@ -135,11 +140,14 @@
     orders.push_back(std::move(order));
 }
 
-void ModelStaging::orderEnded(const HostOrder& order, OrderResult result)
+void ModelStaging::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime now)
 {
     bool hasBegun = result == OrderResult::Accepted || result == OrderResult::Holds;
-    if (order.kind == OrderKind::Stage && !hasBegun)
-        m_stagings.erase(order.hostId);
+    if (order.kind != OrderKind::Stage || hasBegun)
+        return;
+    m_stagings.erase(order.hostId);
+    if (result == OrderResult::Unfit)
+        m_refused[order.hostId] = now;
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -23,7 +23,7 @@
     // Adds orders. freeHosts: those that belong to no replica; otherLoads: in progress for replicas that form.
     void plan(const PlannerInput&, const ModelNeeds&, const HostsByDomain& freeHosts, uint32_t otherLoads,
         std::vector<HostOrder>& orders);
-    void orderEnded(const HostOrder&, OrderResult);
+    void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
     uint32_t loads() const { return static_cast<uint32_t>(m_stagings.size()); }
     // Idle hosts whose own reports tell when they are done.
@@ -50,6 +50,7 @@
     void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
 
     std::map<std::string, Staging, std::less<>> m_stagings; // By host.
+    std::map<std::string, MonotonicTime, std::less<>> m_refused; // When a host last refused a load.
     std::set<std::string, std::less<>> m_awaited;
     uint32_t m_otherLoads = 0;
     double m_loadTokens = 0;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -28,9 +28,11 @@
     // Replicas that give way finish what they have for this long; what is longer goes on elsewhere.
     constexpr Milliseconds retireGrace { 600 };
     constexpr Milliseconds longestShift { 5000 };
-    // At the very start hosts appear in the list one by one; where each model is at home is settled once they have.
+    // At the very start sixty hosts appear in the list one by one within some 2.2 s; where each model is at home is
+    // settled once they have. Begun half a second earlier, pairs of early hosts spoilt a domain of ten for the large
+    // model.
     constexpr Milliseconds settledAfter { 600 };
-    constexpr Milliseconds longestSettling { 2500 };
+    constexpr Milliseconds longestSettling { 3500 };
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
@@ -535,7 +537,7 @@
 void ReplicaPlanner::orderEnded(const HostOrder& order, OrderResult result, MonotonicTime now)
 {
     m_orderCounts.ended(order, result, now);
-    m_staging.orderEnded(order, result);
+    m_staging.orderEnded(order, result, now);
     if (order.kind == OrderKind::Join && result == OrderResult::Unfit)
         joinRefused(order);
     bool hasLeft = result == OrderResult::Holds || result == OrderResult::Accepted || result == OrderResult::Gone;
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -256,6 +256,21 @@
     EXPECT_EQ(stages[0].model, "large") << "what the other three lack one host for";
 }
 
+// It loads for an earlier controller. Asked at each turn, it once got 93 orders on one day.
+TEST(ReplicaPlanner, LeavesAHostThatRefusesALoadAloneForAWhile)
+{
+    PlannerWorld world({ modelOf("small", 2) });
+    world.loadsAreFree = false;
+    world.obey = [&](const HostOrder& order) {
+        return order.kind == OrderKind::Stage ? OrderResult::Unfit : world.carryOut(order);
+    };
+    world.addHost("busy", "d1");
+    world.run(Milliseconds(2500));
+    EXPECT_EQ(world.ordersTo("busy", OrderKind::Stage).size(), 1u);
+    world.run(Milliseconds(2500));
+    EXPECT_EQ(world.ordersTo("busy", OrderKind::Stage).size(), 2u);
+}
+
 // The weight store shares its rate: with more loads at once than it takes, none is done soon.
 TEST(ReplicaPlanner, BeginsNoMoreLoadsThanTheWeightStoreTakes)
 {
