Let the stand-ins of the platform end idle connections after a second

Cause of the adapter's slow tests: a stand-in that ends waits for each connection that a node still holds, five seconds by the library's setting for the next read. Ruled out earlier: the keep-alive time alone. Both are one second now.

--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -12,6 +12,7 @@
     using nlohmann::json;
     using namespace std::chrono_literals;
 
+    constexpr time_t idleSeconds = 1;
     constexpr auto orderDelay = 1500ms; // Longer than the gateway waits for an order's answer.
 
     void writeJson(httplib::Response& response, int status, const json& body)
@@ -46,6 +47,9 @@
 StandinServer::StandinServer()
 {
     m_http.new_task_queue = [] { return new httplib::ThreadPool(24); };
+    // A server that ends waits this long for each connection that a node still holds.
+    m_http.set_keep_alive_timeout(idleSeconds);
+    m_http.set_read_timeout(idleSeconds, 0);
 }
 
 StandinServer::~StandinServer() { stop(); }
