--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -160,10 +160,7 @@
 void ReplicaPlanner::superviseReplica(
     const PlannerInput& input, const ReplicaView& replica, std::vector<HostOrder>& orders)
 {
-    bool isForming = std::ranges::any_of(m_formations, [&](const Formation& formation) {
-        return formation.replica == replica.name && formation.epoch == replica.epoch;
-    });
-    if (isForming)
+    if (isForming(replica))
         return;
     Watch& watch = m_watches[{ replica.name, replica.epoch }];
     if (replica.head) {
@@ -318,6 +315,13 @@
     return result;
 }
 
+bool ReplicaPlanner::isForming(const ReplicaView& replica) const
+{
+    return std::ranges::any_of(m_formations, [&](const Formation& formation) {
+        return formation.replica == replica.name && formation.epoch == replica.epoch;
+    });
+}
+
 bool ReplicaPlanner::isDissolving(const ReplicaView& replica) const
 {
     auto watch = m_watches.find({ replica.name, replica.epoch });
@@ -332,9 +336,7 @@
     for (const ReplicaView& replica : input.hosts.replicas()) {
         bool serves
             = replica.head && replica.head->status.membership->state == MemberState::Open && !isDissolving(replica);
-        bool isForming = std::ranges::any_of(
-            m_formations, [&](const Formation& formation) { return formation.epoch == replica.epoch; });
-        if (serves && !isForming)
+        if (serves && !isForming(replica))
             ++result[replica.model];
     }
     return result;
@@ -349,6 +351,8 @@
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
+    if (m_shift)
+        summary.shift = fmt::format("{} in {}", m_shift->model, m_shift->domain);
     summary.loads = m_staging.loads() + loadsOfFormations(input);
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         summary.freeHosts += hosts.size();
@@ -454,9 +458,7 @@
     for (const ReplicaView& replica : replicas) {
         bool serves = replica.service == input.service.name && replica.head && !isDissolving(replica)
             && replica.head->status.membership->state == MemberState::Open;
-        bool isForming = std::ranges::any_of(
-            m_formations, [&](const Formation& formation) { return formation.epoch == replica.epoch; });
-        if (serves && !isForming)
+        if (serves && !isForming(replica))
             domains[replica.head->status.domain].replicas.push_back(&replica);
     }
     std::vector<ShiftDomain> result;
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -45,6 +45,7 @@
         size_t dissolving = 0;
         size_t freeHosts = 0;
         uint32_t loads = 0; // In progress.
+        std::string shift; // The model that other replicas give way to, and where; empty if none do.
         // By domain: the model that it is home to, and the free hosts by what they have staged.
         std::map<std::string, std::map<std::string, uint32_t>> freeByDomain;
     };
@@ -125,6 +126,7 @@
     bool isIdle(const PlannerInput&, const Host&) const;
     bool awaitReports(const PlannerInput&, const std::vector<const Host*>&);
     void joinRefused(const HostOrder&);
+    bool isForming(const ReplicaView&) const;
     bool isDissolving(const ReplicaView&) const;
     std::map<std::string, uint32_t> replicasByModel(const PlannerInput&) const;
 
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -89,7 +89,7 @@
         m_context.log.write("replicas",
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
                 { "wanted", wanted }, { "in_flight", m_inFlight }, { "dissolving", summary.dissolving },
-                { "free_hosts", summary.freeHosts }, { "loads", summary.loads },
+                { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
                 { "free_by_domain", summary.freeByDomain } });
     }
     for (HostOrder& order : orders) {
