Take no host for free by the list's word: its state must be its own with the count

Ruled out: late orders (the condition catches them) and two controllers (one fencing number). A test with such a list failed before and passes now.

Change: a count is only used with the state that the host itself reported at it.

--- a/src/fleet/ordercounts.cpp
+++ b/src/fleet/ordercounts.cpp
@@ -46,8 +46,13 @@
     std::erase_if(m_counts, [&](const auto& entry) { return !hosts.find(entry.first); });
 }
 
+// The count is worth nothing without the state that the host had at it. The list tells a state without a count, and may
+// be seconds old.
 std::optional<uint64_t> OrderCounts::known(const HostTable& hosts, std::string_view hostId) const
 {
+    const Host* host = hosts.find(hostId);
+    if (!host || !host->status.ordersAccepted)
+        return std::nullopt;
     if (isReported(hosts, hostId))
         return hosts.ordersAccepted(hostId);
     auto found = m_counts.find(hostId);
--- a/src/fleet/ordercounts.h
+++ b/src/fleet/ordercounts.h
@@ -23,7 +23,7 @@
     void ended(const HostOrder&, OrderResult, MonotonicTime now);
     void forgetUnlisted(const HostTable&);
 
-    // Nothing if only a report can tell.
+    // Nothing if only a report can tell, or if what counts as the host's state now is not its own word.
     std::optional<uint64_t> known(const HostTable&, std::string_view hostId) const;
     // Whether the host's latest report is from after the last order to it ended.
     bool isReported(const HostTable&, std::string_view hostId) const;
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -66,6 +66,25 @@
     EXPECT_FALSE(world.ordersTo("a", OrderKind::Join).empty());
 }
 
+// One day the store's answers were seconds old: its list showed the head of an open replica as it was before it joined,
+// and as no order had reached the host since its last report, the join's condition held.
+TEST(ReplicaPlanner, BelievesNoOldListThatAHostIsFree)
+{
+    auto world = servingPair();
+    world->orders.clear();
+    world->silentReports = { "a", "b" };
+    world->run(Milliseconds(2000));
+    for (const char* id : { "a", "b" }) {
+        Host old = *world->table.find(id);
+        old.status.ordersAccepted.reset();
+        old.status.membership.reset();
+        world->table.listed(old, world->now);
+    }
+    world->run(Milliseconds(3000));
+    EXPECT_TRUE(world->ordersTo("a", OrderKind::Join).empty());
+    EXPECT_TRUE(world->ordersTo("b", OrderKind::Join).empty());
+}
+
 // Another controller, or an order carried out late, was there first.
 TEST(ReplicaPlanner, JoinsAHostThatAcceptedAnotherOrderByItsNewCount)
 {
