Wait on conditions in place of times in the two tests of outages and late orders

The stand-in counts the appends that it refused while it was down, and the orders that it carried out late; the tests wait for these. No check is looser: the lease is over by the sixth refused claim, and both late joins have had their verdict.

--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -305,7 +305,9 @@
     auto isOther = [&](const auto& host) { return host.get() != head && host.get() != spare; };
     StandinHost* member = std::ranges::find_if(m_hosts, isOther)->get();
     m_store.isDown = true;
-    std::this_thread::sleep_for(3s); // The lease of the controller, whichever node it is, would be over.
+    // The controller claims again each 0.6 s, so its lease of 2.6 s is over by then, whichever node it is.
+    constexpr int claimsInALease = 6;
+    ASSERT_TRUE(eventually([&] { return m_store.refusedAppends >= claimsInALease; }));
     int sentBefore = head->eventsSent;
     std::thread caller([&] { call("/story/x"); });
     ASSERT_TRUE(eventually([&] { return head->eventsSent >= sentBefore + 3; }));
@@ -325,7 +327,8 @@
         host->ordersToDelay = 1;
     m_node = std::make_unique<TestNode>("node-1", m_store.address());
     ASSERT_TRUE(eventually([&] { return openHeads().size() == 1; }));
-    std::this_thread::sleep_for(2s); // The late ones arrive.
+    ASSERT_TRUE(eventually(
+        [&] { return std::ranges::all_of(m_hosts, [](const auto& host) { return host->delayedOrders == 1; }); }));
     EXPECT_EQ(openHeads().size(), 1u);
     for (auto& host : m_hosts)
         EXPECT_EQ(host->joins, 1);
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -74,9 +74,10 @@
     m_http.Post("/log-append", [this](const auto& request, auto& response) { append(request, response); });
     m_http.Get("/log-read", [this](const auto& request, auto& response) { read(request, response); });
     m_http.Get("/log-newest", [this](const auto& request, auto& response) { newest(request, response); });
-    m_http.set_pre_routing_handler([this](const auto&, auto& response) {
+    m_http.set_pre_routing_handler([this](const auto& request, auto& response) {
         if (!isDown)
             return httplib::Server::HandlerResponse::Unhandled;
+        refusedAppends += request.path == "/log-append" ? 1 : 0;
         response.status = 503;
         return httplib::Server::HandlerResponse::Handled;
     });
@@ -214,12 +215,18 @@
 }
 
 void StandinHost::order(const httplib::Request& request, httplib::Response& response)
+{
+    if (ordersToDelay <= 0)
+        return obey(request, response);
+    --ordersToDelay;
+    std::this_thread::sleep_for(orderDelay);
+    obey(request, response);
+    ++delayedOrders;
+}
+
+void StandinHost::obey(const httplib::Request& request, httplib::Response& response)
 {
     json body = json::parse(request.body);
-    if (ordersToDelay > 0) {
-        --ordersToDelay;
-        std::this_thread::sleep_for(orderDelay);
-    }
     {
         std::lock_guard lock(m_mutex);
         if (request.get_header_value("Target-Instance") != m_options.id)
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -47,6 +47,7 @@
     bool isReadToItsEnd(const std::string& topic);
     // Does nothing and says so.
     std::atomic<bool> isDown { false };
+    std::atomic<int> refusedAppends { 0 }; // While it was down.
     // Appends, but answers only after the caller has given up.
     std::atomic<int> answersToLose { 0 };
 
@@ -91,6 +92,7 @@
     std::atomic<bool> isDraining { false };
     std::atomic<bool> isLost { false }; // Tells nothing of itself and obeys nothing.
     std::atomic<int> ordersToDelay { 0 }; // Carried out after their sender has given them up.
+    std::atomic<int> delayedOrders { 0 }; // That were carried out, or refused, since.
     std::atomic<int> joins { 0 }; // That it began.
 
     static constexpr int eventsPerStream = 12;
@@ -98,6 +100,7 @@
 private:
     nlohmann::json report(bool forList);
     void order(const httplib::Request&, httplib::Response&);
+    void obey(const httplib::Request&, httplib::Response&);
     void serve(const httplib::Request&, httplib::Response&);
     void stream(const httplib::Request&, httplib::Response&);
 
