Tell the lives of a host apart; take no host from entries that other writers left

Cause: a host may start again under the id that it had, and an entry may come from another writer. Read on the code before: a life was known by its id alone, so the expected order count, contact, load and membership of the earlier life stood for the later one; one record with undecodable data or a cut key made the whole page unreadable, so none of its records counted. Ruled out: keeping the id and clearing each table when the time of start changes, as six tables keep something by id and each would need its own rule for late news. Change: the id inside the product names the life (name and time of start); the adapter sends the name alone. An entry with fields missing, of another type or with unknown words names no host and is logged once; a listed host under that key goes after 1.3 s unless it writes its own entry again.

--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,9 +51,29 @@
     bool holds(std::string_view wanted) const { return lastModel == wanted || isStaged(wanted); }
 };
 
+// A host that starts again may keep its name. It then holds and knows nothing of before, so each life has an id of its
+// own: the name and, where the host tells when it started, that time. Whatever is kept by id starts anew with the life.
+inline std::string lifeId(std::string_view name, uint64_t born)
+{
+    return born == 0 ? std::string(name) : std::string(name) + '@' + std::to_string(born);
+}
+
+// The name under which the host is listed and answers.
+inline std::string_view hostName(std::string_view lifeId) { return lifeId.substr(0, lifeId.rfind('@')); }
+
+// Milliseconds since 1970; 0 if the host does not tell.
+inline uint64_t bornOf(std::string_view lifeId)
+{
+    size_t at = lifeId.rfind('@');
+    uint64_t born = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(lifeId.data() + at + 1, lifeId.data() + lifeId.size(), born);
+    return born;
+}
+
 // One life of a backend server. Its id never comes again; its address may, for another service.
 struct Host {
-    std::string id;
+    std::string id; // See lifeId().
     std::string service;
     Address address;
     std::string zone;
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -16,7 +16,13 @@
 
 void HostTable::listed(Host host, MonotonicTime at)
 {
+    if (isEarlierLife(host))
+        return;
     ++m_version;
+    std::string& newest = m_newestLife[std::string(hostName(host.id))];
+    if (!newest.empty() && newest != host.id)
+        unlisted(newest);
+    newest = host.id;
     m_firstSeen.try_emplace(host.id, m_firstSeen.size());
     if (!m_hosts.contains(host.id) && !dropEarlierLife(host))
         return;
@@ -43,6 +49,13 @@
     status.lastModel = sources.lastModel;
 }
 
+// A late entry of a life that has ended; also one without a time of start under a name that came with one before.
+bool HostTable::isEarlierLife(const Host& host) const
+{
+    auto newest = m_newestLife.find(hostName(host.id));
+    return newest != m_newestLife.end() && bornOf(host.id) < bornOf(newest->second);
+}
+
 // A host that starts again has the address of its earlier life, whose entry only goes some seconds later; a late
 // heartbeat may even bring it back. False if it is this one that is the earlier.
 bool HostTable::dropEarlierLife(const Host& host)
@@ -112,6 +125,12 @@
     return found == m_sources.end() ? std::nullopt : found->second.mostOrders;
 }
 
+const Host* HostTable::findByName(std::string_view name) const
+{
+    auto newest = m_newestLife.find(name);
+    return newest == m_newestLife.end() ? nullptr : find(newest->second);
+}
+
 const Host* HostTable::find(std::string_view id) const
 {
     auto found = m_hosts.find(id);
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -27,6 +27,8 @@
     void listed(Host, MonotonicTime at);
     // The list dropped the entry.
     void unlisted(std::string_view id);
+    // The listed life of the host with this name; nullptr if none is.
+    const Host* findByName(std::string_view name) const;
     // A report of the host itself, of what it was at this time; ignored for hosts that are not listed or if a later one
     // is known.
     void reported(std::string_view id, HostStatus, MonotonicTime at);
@@ -55,12 +57,14 @@
         std::string lastModel;
     };
 
+    bool isEarlierLife(const Host&) const;
     bool dropEarlierLife(const Host&);
     static void keepLastModel(Sources&, HostStatus&);
 
     std::map<std::string, Host, std::less<>> m_hosts; // With the status that counts.
     std::map<std::string, Sources, std::less<>> m_sources;
     std::map<std::string, uint64_t, std::less<>> m_firstSeen; // In which order lives appeared; small, and kept.
+    std::map<std::string, std::string, std::less<>> m_newestLife; // Its id, by the host's name; kept likewise.
     uint64_t m_version = 0;
 };
 
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -147,11 +147,13 @@
 
 HostContact ControllerLoop::contact(std::string_view hostId) const
 {
+    const Host* listed = m_context.hosts.findByName(hostName(hostId));
+    bool hasStartedAgain = listed && listed->id != hostId;
     auto found = m_contacts.find(hostId);
     if (found == m_contacts.end())
-        return HostContact::Unknown;
+        return hasStartedAgain ? HostContact::Ended : HostContact::Unknown;
     const Contact& contact = found->second;
-    if (contact.hasEnded)
+    if (contact.hasEnded || hasStartedAgain)
         return HostContact::Ended;
     if (contact.failures >= failuresOfSilence && contact.isRefused)
         return HostContact::Refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,9 @@
 
     // Hosts write their entries every 1.2 s, and the list is up to 0.8 s behind.
     constexpr Milliseconds entriesBackAfter { 2200 };
+    // A host whose entry another writer spoilt writes its own within 1.2 s; a leaving one may get work for two seconds.
+    constexpr Milliseconds ownEntryBackAfter { 1300 };
+    constexpr size_t mostUnreadableKept = 1000; // Keys; what is more is not logged.
     constexpr Milliseconds keepUpPeriod { 50 };
     constexpr int slowTicks = 20; // Of that period, for what is done once a second.
     constexpr std::chrono::seconds addressesKept { 60 };
@@ -142,7 +145,7 @@
 LogFollower::Handlers Gateway::configHandlers()
 {
     auto take = [this](const LogRecord& record) {
-        if (record.value && m_context.platform.isConfigKey(record.key))
+        if (record.isReadable && record.value && m_context.platform.isConfigKey(record.key))
             adoptConfig(*record.value, "store");
     };
     return { [] {}, take, [] {} };
@@ -160,18 +163,29 @@
 
 void Gateway::takeHost(const LogRecord& record)
 {
-    if (!record.value) {
+    if (record.isReadable && !record.value) {
+        m_unreadableHosts.erase(record.key);
         dropHost(record.key);
         return;
     }
-    m_dropsDue.erase(record.key);
-    auto host = m_context.platform.host(record.key, *record.value);
+    auto host = record.isReadable
+        ? m_context.platform.host(record.key, *record.value)
+        : Settled<Host>(Error { ErrorCode::Malformed, Step::MembershipRead, "store", "bytes" });
     if (auto* error = std::get_if<Error>(&host)) {
-        m_context.log.write("host_unreadable", { { "host", record.key }, { "problem", describe(*error) } });
+        noteUnreadable(record.key, *error);
         return;
     }
-    const Host* known = m_context.hosts.find(record.key);
     auto& listed = std::get<Host>(host);
+    bool isOfNoService = m_context.routes && !m_context.routes->config().service(listed.service);
+    if (isOfNoService) {
+        noteUnreadable(record.key,
+            { ErrorCode::Malformed, Step::MembershipRead, "store",
+                "the configuration has no service " + listed.service });
+        return;
+    }
+    m_dropsDue.erase(record.key);
+    m_unreadableHosts.erase(record.key);
+    const Host* known = m_context.hosts.find(listed.id);
     if (!known || known->draining != listed.draining)
         m_context.log.write("host_listed",
             { { "host", listed.id }, { "service", listed.service }, { "draining", listed.draining },
@@ -179,40 +193,53 @@
     m_context.hosts.listed(std::move(listed), m_context.now());
 }
 
+// It names no host to use. One that is listed under the key goes, unless it writes its own entry again in time: its
+// next heartbeat is due within that.
+void Gateway::noteUnreadable(const std::string& key, const Error& problem)
+{
+    if (m_unreadableHosts.size() < mostUnreadableKept && m_unreadableHosts.insert(key).second)
+        m_context.log.write("host_unreadable", { { "host", key }, { "problem", describe(problem) } });
+    if (m_context.hosts.findByName(key))
+        m_dropsDue.try_emplace(key, m_context.now() + ownEntryBackAfter);
+}
+
 void Gateway::dropUnlistedHosts()
 {
     std::vector<std::string> gone;
     for (const auto& [id, host] : m_context.hosts.hosts()) {
-        if (!m_listing.contains(id))
-            gone.push_back(id);
+        if (!m_listing.contains(hostName(id)))
+            gone.emplace_back(hostName(id));
     }
-    for (const std::string& id : gone)
-        dropHost(id);
+    for (const std::string& name : gone)
+        dropHost(name);
     m_context.hostsListed = true;
 }
 
 // Entries that lapse while the store is away come back soon after it, if their hosts live.
-void Gateway::dropHost(const std::string& id)
+void Gateway::dropHost(const std::string& name)
 {
+    const Host* host = m_context.hosts.findByName(name);
+    if (!host)
+        return;
     MonotonicTime entriesAreBack = m_health.servesSince() + entriesBackAfter;
-    if (m_context.now() < entriesAreBack && m_context.hosts.find(id)) {
-        m_dropsDue.try_emplace(id, entriesAreBack);
+    if (m_context.now() < entriesAreBack) {
+        m_dropsDue.try_emplace(name, entriesAreBack);
         return;
     }
-    m_context.log.write("host_unlisted", { { "host", id } });
-    m_context.hosts.unlisted(id);
+    m_context.log.write("host_unlisted", { { "host", host->id } });
+    m_context.hosts.unlisted(std::string(host->id));
 }
 
 void Gateway::dropDueHosts()
 {
     std::vector<std::string> due;
-    for (const auto& [id, at] : m_dropsDue) {
+    for (const auto& [name, at] : m_dropsDue) {
         if (at <= m_context.now())
-            due.push_back(id);
+            due.push_back(name);
     }
-    for (const std::string& id : due) {
-        m_dropsDue.erase(id);
-        dropHost(id);
+    for (const std::string& name : due) {
+        m_dropsDue.erase(name);
+        dropHost(name);
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,8 @@
     void adoptConfig(std::string_view text, std::string_view source);
     void takeHost(const LogRecord&);
     void dropUnlistedHosts();
-    void dropHost(const std::string& id);
+    void noteUnreadable(const std::string& key, const Error&);
+    void dropHost(const std::string& name);
     void dropDueHosts();
     LogFollower::Handlers configHandlers();
     LogFollower::Handlers hostHandlers();
@@ -61,8 +62,10 @@
     QuestionServer m_entries;
     QuestionServer m_peerServer;
     std::list<std::weak_ptr<CallerSession>> m_sessions;
-    std::set<std::string, std::less<>> m_listing; // Hosts seen in the listing under way.
-    std::map<std::string, MonotonicTime, std::less<>> m_dropsDue; // Hosts whose entries lapsed around an interruption.
+    std::set<std::string, std::less<>> m_listing; // Names of hosts seen in the listing under way.
+    std::set<std::string, std::less<>> m_unreadableHosts; // Keys of entries that were logged as unreadable.
+    // By name: hosts whose entries lapsed around an interruption, or were overwritten by another writer.
+    std::map<std::string, MonotonicTime, std::less<>> m_dropsDue;
     std::map<std::string, MonotonicTime, std::less<>> m_stoodStillAt; // Heads.
     uint64_t m_targetsOf = UINT64_MAX; // Versions that the targets were made from.
     const RouteTable* m_targetsOfRoutes = nullptr;
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -23,8 +23,9 @@
         return result;
     }
 
-    ReportedStatus decodeStatus(const json& entry)
-    {
+    // One that can't be read is left out; the others hold.
+    std::optional<ReportedStatus> decodeStatus(const json& entry)
+    try {
         ReportedStatus reported;
         reported.hostId = entry.at("host").get<std::string>();
         reported.status.ordersAccepted = entry.at("orders").get<uint64_t>();
@@ -38,6 +39,8 @@
                 entry.at("epoch").get<uint64_t>(), entry.at("rank").get<uint32_t>(), static_cast<MemberState>(state) };
         }
         return reported;
+    } catch (const json::exception&) {
+        return std::nullopt;
     }
 
 }
@@ -86,8 +89,10 @@
         digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
         digest.standingStill = entry.at("still").get<std::vector<std::string>>();
         digest.knownPeers = entry.at("known").get<std::vector<std::string>>();
-        for (const auto& reported : entry.value("reported", json::array()))
-            digest.reported.push_back(decodeStatus(reported));
+        for (const auto& reported : entry.value("reported", json::array())) {
+            if (auto status = decodeStatus(reported))
+                digest.reported.push_back(std::move(*status));
+        }
         return digest;
     } catch (const json::exception&) {
         return std::nullopt; // The reader logs it with the peer's address.
--- a/src/gateway/platform.h
+++ b/src/gateway/platform.h
@@ -31,6 +31,7 @@
     std::string key; // Empty in a log without keys.
     std::optional<std::string> value;
     uint64_t offset = 0;
+    bool isReadable = true; // False for bytes that another writer left; the key is empty if it can't be told either.
 };
 
 struct LogPage {
@@ -65,7 +66,8 @@
     // What the store holds.
     virtual bool isConfigKey(std::string_view key) const = 0;
     virtual Settled<FleetConfig> config(std::string_view text) const = 0;
-    virtual Settled<Host> host(std::string_view id, std::string_view text) const = 0;
+    // An entry that another writer left, with fields missing, of another type or unknown, is Malformed.
+    virtual Settled<Host> host(std::string_view name, std::string_view text) const = 0;
 
     // Backend servers.
     virtual HttpRequest order(const HostOrder&, uint64_t fencing) const = 0;
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -77,8 +77,8 @@
         auto& found = std::get<LogPage>(page);
         end = end.value_or(found.nextOffset);
         hasMore = found.hasMore && !found.records.empty();
-        if (hasMore)
-            after = found.records.back().key;
+        for (const LogRecord& record : found.records)
+            after = record.key.empty() ? after : record.key;
         std::ranges::move(found.records, std::back_inserter(records));
     }
     m_health.answered();
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -131,6 +131,34 @@
     EXPECT_NE(table.find("a-again"), nullptr);
 }
 
+// The later life knows nothing of before; what comes late of the earlier one changes nothing.
+TEST(HostTable, TellsTheLivesUnderOneNameApart)
+{
+    HostTable table;
+    Host earlier = hostWith(memberOf(1, MemberState::Open));
+    earlier.id = lifeId("a", 1000);
+    earlier.status.model = "large";
+    table.listed(earlier, start);
+    table.reported(earlier.id, memberOf(1, MemberState::Open, 9), start + Milliseconds(100));
+    Host later = hostWith({});
+    later.id = lifeId("a", 2000);
+    table.listed(later, start + Milliseconds(200));
+    EXPECT_EQ(table.find(earlier.id), nullptr);
+    ASSERT_EQ(table.findByName("a"), table.find(later.id));
+    EXPECT_EQ(table.find(later.id)->status.lastModel, "");
+    EXPECT_FALSE(table.ordersAccepted(later.id));
+
+    table.listed(earlier, start + Milliseconds(300));
+    table.reported(earlier.id, memberOf(1, MemberState::Open, 10), start + Milliseconds(400));
+    Host untold = hostWith(memberOf(1, MemberState::Open));
+    table.listed(untold, start + Milliseconds(500));
+    EXPECT_EQ(table.hosts().size(), 1u);
+    EXPECT_FALSE(table.findByName("a")->status.membership);
+    table.unlisted(later.id);
+    table.listed(earlier, start + Milliseconds(600));
+    EXPECT_TRUE(table.hosts().empty()) << "an earlier life, also after the later one has gone";
+}
+
 TEST(HostTable, GathersTheMembersOfAReplica)
 {
     HostTable table;
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -139,6 +139,28 @@
     EXPECT_FALSE(world->ordersTo(head, OrderKind::Join).empty()) << "the survivor joins the spare host";
 }
 
+// It holds nothing of before and its count of orders starts anew; the others of its replica are free at once.
+TEST(ReplicaPlanner, RebuildsTheReplicaOfAHeadThatStartedAgain)
+{
+    auto world = servingPair();
+    std::string head = headOf(*world);
+    std::string member = memberOf(*world);
+    Host again = *world->table.find(head);
+    again.id = lifeId(head, 5000);
+    again.status = {};
+    again.status.domain = world->table.find(member)->status.domain;
+    again.status.stagedModels = world->table.find(head)->status.stagedModels;
+    world->table.listed(again, world->now);
+    world->contacts[head] = HostContact::Ended;
+    world->orders.clear();
+    world->run(Milliseconds(2500));
+    auto joins = world->ordersTo(again.id, OrderKind::Join);
+    ASSERT_FALSE(joins.empty());
+    EXPECT_EQ(joins.front().expectedOrders, 0u);
+    ASSERT_FALSE(world->openReplicas().empty());
+    EXPECT_TRUE(world->ordersTo(head, OrderKind::Join).empty());
+}
+
 // A head that drains stops listening, then finishes what it has: its members are not free before it has ended.
 TEST(ReplicaPlanner, KeepsMembersOfADrainingHeadThatStoppedListening)
 {
--- a/tests/gateway/peerdigest_test.cpp
+++ b/tests/gateway/peerdigest_test.cpp
@@ -5,6 +5,18 @@
 
 namespace Kumquatpick {
 
+TEST(PeerDigest, LeavesOutAStatusThatCanNotBeRead)
+{
+    PeerDigest digest;
+    digest.reported = { { "host-a", {}, Milliseconds(1) }, { "host-b", {}, Milliseconds(2) } };
+    std::string text = encode(digest);
+    text.replace(text.find("\"host-a\""), 8, "[true, 7]");
+    auto read = decodeDigest(text);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->reported.size(), 1u);
+    EXPECT_EQ(read->reported[0].hostId, "host-b");
+}
+
 TEST(PeerDigest, ComesBackAsItWas)
 {
     PeerDigest digest;
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -334,6 +334,38 @@
         EXPECT_EQ(host->joins, 1);
 }
 
+TEST_F(GatewayTest, ServesWithAHostThatStartedAgainUnderItsName)
+{
+    startServing(2, 0);
+    for (auto& host : m_hosts) {
+        if (host->isOpenHead()) {
+            host->startAgain();
+            break;
+        }
+    }
+    EXPECT_TRUE(eventually([&] { return !openHeads().empty() && status("/story/x") == 200; }));
+}
+
+// Other writers' entries name no host to use; the others hold, and a host whose entry was overwritten serves on once it
+// has written its own again.
+TEST_F(GatewayTest, TakesNoHostFromEntriesOfOtherWriters)
+{
+    startServing(2, 1);
+    m_store.put("keyed.servers", "stranger", "\xff\xfe");
+    m_store.put("keyed.servers", "plain-9", R"({"service":"desk","address":"127.0.0.1:9","capacity":4})");
+    m_store.put("keyed.servers", "plain-8",
+        R"({"service":"desk","address":"127.0.0.1:9","zone":"z","version":"v1","capacity":4,"state":"resting",
+            "sequence":1,"warmupLeftMs":0})");
+    m_store.put("keyed.servers", m_hosts.back()->id(), "[]");
+    m_hosts.back()->announce();
+    ASSERT_TRUE(eventually([&] { return m_store.isReadToItsEnd("keyed.servers"); }));
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(status("/again/x"), 200);
+        EXPECT_EQ(status("/once/x"), 200);
+    }
+    EXPECT_EQ(status("/story/x"), 200);
+}
+
 TEST_F(GatewayTest, SendsNothingToAHostWhoseEntryLapsed)
 {
     startServing(0, 2);
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -79,6 +79,8 @@
     // Tells the store its state.
     void announce();
     std::string id() const { return m_options.id; }
+    // Knows nothing of before, under its id; its staged copy stays.
+    void startAgain();
     // Its entry goes, as after some heartbeats without a word; announce() brings it back.
     void lapse();
     bool isOpenHead();
@@ -107,6 +109,7 @@
     StandinStore& m_store;
     Options m_options;
     std::mutex m_mutex;
+    int64_t m_born = 1'785'639'518'025;
     int m_ordersAccepted = 0;
     int m_heartbeats = 0;
     int64_t m_fencing = 0;
