Have the node that lacks a configuration ask one peer for it

Cause: each digest carried the whole text to every reader whose last digest named an older version, and each node told eight peers at once of each version it adopted. Change: digests name versions only; a node that is behind waits 300 ms for the store, then asks one peer, of its own zone first, at most every 400 ms. Peers' bytes are counted by kind and zone.

--- /dev/null
+++ b/src/fleet/configcatchup.cpp
@@ -0,0 +1,54 @@
+#include "fleet/configcatchup.h"
+
+#include <vector>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // A reader that waits at the store has the text within a few of its answers; peers hear of it as soon.
+    constexpr Milliseconds storeFirst { 300 };
+    // Configurations may follow each other within 60 ms; one ask brings all of them.
+    constexpr Milliseconds betweenAsks { 400 };
+    // Of the last digest: a peer that fell silent is not asked.
+    constexpr Milliseconds holderLasts { 1500 };
+
+}
+
+void ConfigCatchUp::heard(std::string_view peer, bool isOfOwnZone, uint64_t version, MonotonicTime now)
+{
+    m_holders.insert_or_assign(std::string(peer), Holder { version, isOfOwnZone, now });
+    if (version <= m_newest)
+        return;
+    m_newest = version;
+    m_newestSince = now;
+}
+
+std::optional<std::string> ConfigCatchUp::beginAsk(uint64_t ownVersion, MonotonicTime now, Random& random)
+{
+    std::erase_if(m_holders, [&](const auto& entry) { return now - entry.second.heardAt > holderLasts; });
+    bool isTooSoon = m_askedAt && now - *m_askedAt < betweenAsks;
+    // A node without any serves nobody meanwhile, so it does not wait for the store.
+    bool hadStoreTime = ownVersion == 0 || now - m_newestSince >= storeFirst;
+    if (m_isAsking || isTooSoon || !hadStoreTime || ownVersion >= m_newest)
+        return std::nullopt;
+    std::vector<std::string_view> near;
+    std::vector<std::string_view> far;
+    for (const auto& [peer, holder] : m_holders) {
+        // The one that just failed to bring it is asked again only if it is the only one.
+        bool isAgain = peer == m_lastAsked && m_holders.size() > 1;
+        if (holder.version > ownVersion && !isAgain)
+            (holder.isOfOwnZone ? near : far).push_back(peer);
+    }
+    const auto& choice = near.empty() ? far : near;
+    if (choice.empty())
+        return std::nullopt;
+    m_lastAsked = choice[random() % choice.size()];
+    m_askedAt = now;
+    m_isAsking = true;
+    return m_lastAsked;
+}
+
+void ConfigCatchUp::askEnded() { m_isAsking = false; }
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/configcatchup.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Kumquatpick {
+
+// When a node that lacks a configuration asks a peer for its text, and which peer. Texts are large and links are slow:
+// only who lacks one asks, one peer at a time, and only after the store had time to bring it. Not thread-safe.
+//
+// Pushed to every peer whose last digest named an older version, a growing configuration filled the links of sixty
+// nodes: 2.2 GB between zones in 34 s, look-ups failed and calls were answered by old versions.
+class ConfigCatchUp {
+public:
+    // A peer that is alive holds this version.
+    void heard(std::string_view peer, bool isOfOwnZone, uint64_t version, MonotonicTime now);
+    // The peer to ask now, if one should be; begins the ask.
+    std::optional<std::string> beginAsk(uint64_t ownVersion, MonotonicTime now, Random&);
+    void askEnded();
+
+private:
+    struct Holder {
+        uint64_t version = 0;
+        bool isOfOwnZone = false;
+        MonotonicTime heardAt {};
+    };
+
+    std::map<std::string, Holder, std::less<>> m_holders; // Peers by address.
+    uint64_t m_newest = 0;
+    MonotonicTime m_newestSince {}; // When a peer first told of it.
+    std::optional<MonotonicTime> m_askedAt;
+    std::string m_lastAsked;
+    bool m_isAsking = false;
+};
+
+} // namespace Kumquatpick
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -45,7 +45,7 @@
     const GatewaySettings& settings;
     const Platform& platform;
     std::shared_ptr<const RouteTable> routes; // nullptr until a configuration is known.
-    std::string configText; // As the store has it; handed to nodes that the store turns away.
+    std::string configText; // As the store has it; handed to nodes that lack it.
     HostTable hosts;
     ConnectionPool pool;
     Balancer balancer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,7 +51,8 @@
     , m_health(m_context)
     , m_peers(
           m_context, [this](PeerDigest& digest) { fillDigest(digest); },
-          [this](const PeerDigest& digest) { takeDigest(digest); })
+          [this](const PeerDigest& digest) { takeDigest(digest); },
+          [this](std::string_view text, std::string_view source) { adoptConfig(text, source); })
     , m_lease(m_context, m_health, m_peers)
     , m_controller(m_context, m_lease, m_peers)
     , m_configFollower(m_context, m_health, LogName::OperatorsConfig, configPace, configHandlers())
@@ -139,7 +140,6 @@
     m_context.routes = std::make_shared<const RouteTable>(std::move(read));
     m_context.configText = text;
     logConfig(m_context, source);
-    m_peers.tellAll();
 }
 
 LogFollower::Handlers Gateway::configHandlers()
@@ -259,8 +259,6 @@
 
 void Gateway::takeDigest(const PeerDigest& digest)
 {
-    if (!digest.configText.empty())
-        adoptConfig(digest.configText, digest.name);
     m_lease.heardOfTerm(digest.controllerTerm);
     for (const ReportedStatus& reported : digest.reported)
         m_context.hosts.reported(reported.hostId, reported.status, m_context.now() - reported.age);
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -62,8 +62,6 @@
         { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
         { "term", digest.controllerTerm }, { "in_flight", digest.inFlight }, { "waiting", digest.waiting },
         { "still", digest.standingStill }, { "known", digest.knownPeers } };
-    if (!digest.configText.empty())
-        result["config_text"] = digest.configText;
     for (const auto& reported : digest.reported)
         result["reported"].push_back(encodeStatus(reported));
     return result.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -84,7 +82,6 @@
         digest.anyCallSeen = entry.at("calls_seen").get<bool>();
         digest.configVersion = entry.at("config").get<uint64_t>();
         digest.controllerTerm = entry.at("term").get<uint64_t>();
-        digest.configText = entry.value("config_text", "");
         digest.inFlight = entry.at("in_flight").get<std::map<std::string, uint32_t, std::less<>>>();
         digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
         digest.standingStill = entry.at("still").get<std::vector<std::string>>();
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -30,7 +30,6 @@
     bool anyCallSeen = false;
     uint64_t controllerTerm = 0; // The newest that it read of; see ControllerLease.
     uint64_t configVersion = 0;
-    std::string configText; // Only to a node that has an older one.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host.
     std::map<std::string, double, std::less<>> waiting; // Places that refused calls would have held, by model.
     std::vector<std::string> standingStill; // Heads.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -22,14 +23,18 @@
     constexpr Milliseconds slowPeriod { 1500 };
     constexpr int triesBeforeForgotten = 40;
     constexpr const char* relayTarget = "/relay";
+    constexpr const char* configTarget = "/config";
+    // A text of some 100 KB over a link of 20 Mbit/s that callers use too.
+    constexpr Milliseconds configTimeout { 1500 };
     constexpr Milliseconds relayedTimeout { 200 };
 
 }
 
-Peers::Peers(GatewayContext& context, FillDigest fill, TakeDigest take)
+Peers::Peers(GatewayContext& context, FillDigest fill, TakeDigest take, TakeConfig takeConfig)
     : m_context(context)
     , m_fill(std::move(fill))
     , m_take(std::move(take))
+    , m_takeConfig(std::move(takeConfig))
 {
     for (const Address& seed : context.settings.seedAddresses())
         addKnown(seed);
@@ -50,6 +55,8 @@
 {
     for (;;) {
         tellAll();
+        if (auto peer = m_catchUp.beginAsk(configVersion(), m_context.now(), m_context.random))
+            asio::co_spawn(m_context.io, askForConfig(std::move(*peer)), asio::detached);
         std::erase_if(m_peers, [](const auto& entry) { return entry.second.failures > triesBeforeForgotten; });
         co_await pause(roundPeriod);
     }
@@ -76,8 +83,9 @@
     peer.isBusy = true;
     peer.triedAt = m_context.now();
     HttpRequest request(http::verb::post, "/digest", 11);
-    request.body() = encode(ownDigest(peer.digest.name.empty() ? 0 : peer.digest.configVersion));
+    request.body() = encode(ownDigest());
     request.prepare_payload();
+    countBytes("digest", peer.digest.zone, request.body().size());
     auto parsed = settle([&] { return Address::parse(address); });
     MonotonicTime askedAt = peer.triedAt;
     auto answer
@@ -101,6 +109,8 @@
 {
     if (request.target() == relayTarget)
         co_return co_await answerRelayed(request);
+    if (request.target() == configTarget)
+        co_return answerConfig();
     co_return answerDigest(request);
 }
 
@@ -147,16 +157,51 @@
         m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
         return { http::status::bad_request, 11 };
     }
-    uint64_t configOfReader = digest->configVersion;
+    std::string zone = digest->zone;
     addTransit(*digest, {});
     take(std::move(*digest));
     HttpResponse response(http::status::ok, 11);
     response.set(http::field::content_type, "application/json");
-    response.body() = encode(ownDigest(configOfReader));
+    response.body() = encode(ownDigest());
+    countBytes("digest", zone, response.body().size());
     return response;
 }
 
-PeerDigest Peers::ownDigest(uint64_t configOfReader)
+HttpResponse Peers::answerConfig() const
+{
+    HttpResponse response(m_context.routes ? http::status::ok : http::status::not_found, 11);
+    response.body() = m_context.configText;
+    return response;
+}
+
+asio::awaitable<void> Peers::askForConfig(std::string address)
+{
+    auto parsed = settle([&] { return Address::parse(address); });
+    auto answer = co_await m_context.pool.exchange(
+        std::get<Address>(parsed), { http::verb::get, configTarget, 11 }, configTimeout, Step::Gossip);
+    m_catchUp.askEnded();
+    auto* response = std::get_if<HttpResponse>(&answer);
+    if (!response || response->result() != http::status::ok) {
+        m_context.log.write("config_ask_failed",
+            { { "peer", address }, { "problem", response ? "it has none" : describe(std::get<Error>(answer)) } });
+        co_return;
+    }
+    auto peer = m_peers.find(address);
+    countBytes(
+        "config", peer == m_peers.end() ? std::string_view() : peer->second.digest.zone, response->body().size());
+    m_takeConfig(response->body(), address);
+}
+
+// Between zones bytes are slow and paid for.
+void Peers::countBytes(const char* kind, std::string_view zone, size_t bytes)
+{
+    const char* where = zone == m_context.settings.zone ? "own" : "other";
+    m_context.metrics.count(fmt::format("peer_bytes_total{{kind=\"{}\",zone=\"{}\"}}", kind, where), bytes);
+}
+
+uint64_t Peers::configVersion() const { return m_context.routes ? m_context.routes->version() : 0; }
+
+PeerDigest Peers::ownDigest()
 {
     PeerDigest digest;
     digest.name = m_context.settings.name;
@@ -166,9 +211,7 @@
     digest.zone = m_context.settings.zone;
     digest.isStopping = m_context.isStopping;
     digest.anyCallSeen = m_context.anyCallSeen;
-    digest.configVersion = m_context.routes ? m_context.routes->version() : 0;
-    if (configOfReader < digest.configVersion)
-        digest.configText = m_context.configText;
+    digest.configVersion = configVersion();
     digest.inFlight = m_context.balancer.inFlight();
     for (const auto& [address, peer] : m_peers) {
         if (isAlive(peer))
@@ -195,12 +238,13 @@
     peer.heardAt = m_context.now();
     peer.failures = 0;
     peer.digest = std::move(digest);
+    m_catchUp.heard(
+        peer.digest.peers, peer.digest.zone == m_context.settings.zone, peer.digest.configVersion, peer.heardAt);
     if (isNews)
         m_context.log.write("peer",
             { { "peer", peer.digest.name }, { "stopping", peer.digest.isStopping },
                 { "config", peer.digest.configVersion } });
     m_take(peer.digest);
-    peer.digest.configText.clear();
 }
 
 std::vector<std::string> Peers::callerAddresses(std::string_view zone) const
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/configcatchup.h"
 #include "gateway/context.h"
 #include "gateway/peerdigest.h"
 
@@ -15,8 +16,9 @@
 public:
     using FillDigest = std::function<void(PeerDigest&)>;
     using TakeDigest = std::function<void(const PeerDigest&)>;
+    using TakeConfig = std::function<void(std::string_view text, std::string_view source)>;
 
-    Peers(GatewayContext&, FillDigest, TakeDigest);
+    Peers(GatewayContext&, FillDigest, TakeDigest, TakeConfig);
 
     asio::awaitable<void> run();
     // Tells every peer now, for what must not wait for the next round.
@@ -52,15 +54,21 @@
     };
 
     bool isAlive(const Peer&) const;
-    PeerDigest ownDigest(uint64_t configOfReader);
+    uint64_t configVersion() const;
+    PeerDigest ownDigest();
+    asio::awaitable<void> askForConfig(std::string address);
     void take(PeerDigest);
     asio::awaitable<void> call(std::string address);
     HttpResponse answerDigest(const HttpRequest&);
+    HttpResponse answerConfig() const;
     asio::awaitable<HttpResponse> answerRelayed(const HttpRequest&);
+    void countBytes(const char* kind, std::string_view zone, size_t bytes);
 
     GatewayContext& m_context;
     FillDigest m_fill;
     TakeDigest m_take;
+    TakeConfig m_takeConfig;
+    ConfigCatchUp m_catchUp;
     std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
 };
 
--- /dev/null
+++ b/tests/fleet/configcatchup_test.cpp
@@ -0,0 +1,81 @@
+#include "fleet/configcatchup.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+
+}
+
+// Sixty nodes hear of a new version from eight peers four times a second while the store brings it to nobody. Each asks
+// once; pushed by every peer that knew an older version of the reader, the text went out up to 32 times a second.
+TEST(ConfigCatchUp, AsksOnePeerOnceForAVersion)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    int asks = 0;
+    uint64_t own = 7;
+    for (MonotonicTime now = start; now < start + Milliseconds(3000); now += Milliseconds(31)) {
+        catchUp.heard("peer-" + std::to_string(random() % 59), false, 8, now);
+        auto peer = catchUp.beginAsk(own, now, random);
+        if (!peer)
+            continue;
+        ++asks;
+        own = 8;
+        catchUp.askEnded();
+    }
+    EXPECT_EQ(asks, 1);
+}
+
+TEST(ConfigCatchUp, GivesTheStoreTimeFirst)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    catchUp.heard("a", true, 8, start);
+    EXPECT_FALSE(catchUp.beginAsk(7, start + Milliseconds(200), random));
+    EXPECT_FALSE(catchUp.beginAsk(8, start + Milliseconds(500), random)) << "the store has brought it";
+    EXPECT_EQ(catchUp.beginAsk(7, start + Milliseconds(500), random), "a");
+    ConfigCatchUp without;
+    without.heard("a", true, 8, start);
+    EXPECT_EQ(without.beginAsk(0, start, random), "a") << "a node without any configuration serves nobody";
+}
+
+TEST(ConfigCatchUp, AsksOneAtATimeAndAnotherOneNext)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    catchUp.heard("a", true, 8, start);
+    catchUp.heard("b", true, 8, start);
+    std::set<std::string> asked;
+    for (int i = 1; i <= 2; ++i) {
+        MonotonicTime now = start + Milliseconds(500) * i;
+        auto peer = catchUp.beginAsk(7, now, random);
+        ASSERT_TRUE(peer);
+        asked.insert(*peer);
+        EXPECT_FALSE(catchUp.beginAsk(7, now + Milliseconds(450), random)) << "an ask is under way";
+        catchUp.askEnded();
+    }
+    EXPECT_EQ(asked.size(), 2u);
+}
+
+// Bytes between zones are slow and paid for.
+TEST(ConfigCatchUp, PrefersItsOwnZoneAndPeersThatAreHeard)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    catchUp.heard("silent", true, 9, start);
+    for (int i = 0; i < 5; ++i)
+        catchUp.heard("far-" + std::to_string(i), false, 9, start + Milliseconds(1700));
+    auto first = catchUp.beginAsk(7, start + Milliseconds(1800), random);
+    ASSERT_TRUE(first);
+    EXPECT_TRUE(first->starts_with("far-"));
+    catchUp.askEnded();
+    catchUp.heard("near", true, 9, start + Milliseconds(2300));
+    EXPECT_EQ(catchUp.beginAsk(7, start + Milliseconds(2400), random), "near");
+}
+
+} // namespace Kumquatpick
--- a/tests/gateway/peerdigest_test.cpp
+++ b/tests/gateway/peerdigest_test.cpp
@@ -29,7 +29,6 @@
     digest.anyCallSeen = true;
     digest.configVersion = 9;
     digest.controllerTerm = 31;
-    digest.configText = "{\"version\":9}";
     digest.inFlight = { { "host-a", 3 } };
     digest.waiting = { { "large", 1.5 } };
     digest.standingStill = { "host-a" };
