Take the usual spread of callers' patience for none

First tries vary by 15 in 100 themselves. Ruled out: remembering refused calls, as they return to another node.

--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -150,9 +150,7 @@
 {
     if (!m_call.patience)
         return false;
-    Milliseconds& longest = m_context.longestPatience[m_route->name];
-    longest = std::max(longest, *m_call.patience);
-    return longest - *m_call.patience >= m_route->targetLatency;
+    return m_context.patience[m_route->name].cameBack(*m_call.patience, m_route->targetLatency);
 }
 
 // A stream that its caller reads already goes first, one that is late anyway last.
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/balancer.h"
 #include "fleet/hosttable.h"
+#include "fleet/patienceprofile.h"
 #include "fleet/retryallowance.h"
 #include "fleet/routetable.h"
 #include "gateway/activecall.h"
@@ -56,8 +57,7 @@
     uint64_t incarnation; // Of this life of the process.
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
-    // The longest patience that callers of a route came with: one who comes with less has waited before.
-    std::map<std::string, Milliseconds, std::less<>> longestPatience;
+    std::map<std::string, PatienceProfile, std::less<>> patience; // Of the callers of a route, by its name.
     bool anyCallSeen = false;
     bool isStopping = false;
     bool hostsListed = false; // The list of backend servers was read once.
--- /dev/null
+++ b/tests/fleet/patienceprofile_test.cpp
@@ -0,0 +1,57 @@
+#include "fleet/patienceprofile.h"
+
+#include "base/random.h"
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds target { 400 };
+
+    Milliseconds between(Random& random, int lowest, int highest)
+    {
+        return Milliseconds(lowest + static_cast<int>(random() % static_cast<unsigned>(highest - lowest)));
+    }
+
+}
+
+// Callers with 85 to 100 in 100 of the longest patience, as phones set their timers; one in six comes back after a
+// refusal with a second and more less.
+TEST(PatienceProfile, TakesTheUsualSpreadForNone)
+{
+    PatienceProfile profile;
+    Random random(3);
+    int firstTaken = 0;
+    int returnedTaken = 0;
+    for (int i = 0; i < 3000; ++i) {
+        bool isReturned = i > 300 && i % 6 == 0;
+        Milliseconds patience
+            = between(random, 6800, 8000) - (isReturned ? between(random, 1500, 3000) : Milliseconds(0));
+        bool taken = profile.cameBack(patience, target);
+        firstTaken += !isReturned && taken;
+        returnedTaken += isReturned && taken;
+    }
+    EXPECT_LT(firstTaken, 25) << "of some 2,550";
+    EXPECT_GT(returnedTaken, 200) << "of 450";
+}
+
+TEST(PatienceProfile, SeesReturnsAmongCallersWithOnePatience)
+{
+    PatienceProfile profile;
+    for (int i = 0; i < 100; ++i)
+        EXPECT_FALSE(profile.cameBack(Milliseconds(6000), target));
+    EXPECT_TRUE(profile.cameBack(Milliseconds(5400), target));
+    EXPECT_FALSE(profile.cameBack(Milliseconds(5800), target));
+}
+
+TEST(PatienceProfile, OneVeryPatientCallerMakesNobodyLate)
+{
+    PatienceProfile profile;
+    for (int i = 0; i < 100; ++i)
+        profile.cameBack(Milliseconds(6000), target);
+    profile.cameBack(Milliseconds(60'000), target);
+    EXPECT_FALSE(profile.cameBack(Milliseconds(6000), target));
+}
+
+} // namespace Kumquatpick
