--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -27,11 +27,6 @@
     // Long enough for each peer to hear of a status in some round.
     constexpr Milliseconds tellStatusFor { 1500 };
 
-    // Demand follows traffic within a few seconds; what operators expect counts until calls fill one replica's places.
-    constexpr double demandGain = 0.04; // Each tick.
-    // Replicas answer in time while this share of their places is taken.
-    constexpr double wantedUse = 0.6;
-
 }
 
 ControllerLoop::ControllerLoop(GatewayContext& context, ControllerLease& lease, Peers& peers)
@@ -45,6 +40,9 @@
 {
     for (;;) {
         co_await pause(tickPeriod);
+        // Every node follows the demand, so that a new controller knows it from its first plan on.
+        if (m_context.routes)
+            updateDemand();
         auto fencing = m_lease.fencing();
         if (fencing && m_context.routes && m_context.hostsListed && !m_context.isStopping)
             tick(*fencing);
@@ -64,7 +62,6 @@
     for (const ServiceSpec& service : m_context.routes->config().services) {
         if (!service.servesModels())
             continue;
-        updateDemand(service);
         planService(service, fencing);
         awaited.merge(m_planners.at(service.name)->awaited());
     }
@@ -86,9 +83,15 @@
     if (input.now - m_summaryAt >= summaryPeriod) {
         m_summaryAt = input.now;
         auto summary = planner->summary(input);
+        std::map<std::string, double> inFlight;
+        std::map<std::string, double> use;
+        for (const ModelSpec& model : service.models) {
+            inFlight[model.name] = m_demand.at(model.name).places();
+            use[model.name] = m_demand.at(model.name).use();
+        }
         m_context.log.write("replicas",
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
-                { "wanted", wanted }, { "in_flight", m_inFlight }, { "dissolving", summary.dissolving },
+                { "wanted", wanted }, { "in_flight", inFlight }, { "use", use }, { "dissolving", summary.dissolving },
                 { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
                 { "free_by_domain", summary.freeByDomain } });
     }
@@ -100,38 +103,49 @@
     }
 }
 
-// Places that calls hold or would hold, by model, over all nodes.
-void ControllerLoop::updateDemand(const ServiceSpec& service)
+void ControllerLoop::updateDemand()
 {
-    for (const ModelSpec& model : service.models) {
-        double places = m_context.balancer.inFlightOf(service.name, model.name);
-        places += m_context.demand[model.name].waiting;
-        m_peers.forEachAlive([&](const PeerDigest& digest) {
-            auto waiting = digest.waiting.find(model.name);
-            places += waiting == digest.waiting.end() ? 0 : waiting->second;
-        });
-        double& smoothed = m_inFlight[model.name];
-        smoothed += demandGain * (places - smoothed);
+    for (const ServiceSpec& service : m_context.routes->config().services) {
+        for (const ModelSpec& model : service.models)
+            updateDemand(service.name, model.name);
     }
 }
 
+void ControllerLoop::updateDemand(const std::string& service, const std::string& model)
+{
+    const ModelDemand& own = m_context.demand[model];
+    double places = m_context.balancer.inFlightOf(service, model) + own.waiting;
+    double late = own.lateShare.value_or(0);
+    int observers = own.lateShare ? 1 : 0;
+    m_peers.forEachAlive([&](const PeerDigest& digest) {
+        auto waiting = digest.waiting.find(model);
+        places += waiting == digest.waiting.end() ? 0 : waiting->second;
+        auto lateThere = digest.lateShare.find(model);
+        if (lateThere == digest.lateShare.end())
+            return;
+        late += lateThere->second;
+        ++observers;
+    });
+    m_demand[model].observe(places, observers > 0 ? std::optional(late / observers) : std::nullopt);
+}
+
 std::map<std::string, double, std::less<>> ControllerLoop::wantedReplicas(const ServiceSpec& service) const
 {
     std::map<std::string, double, std::less<>> wanted;
     double places = 0;
-    for (const ModelSpec& model : service.models)
-        places += m_inFlight.at(model.name);
-    bool isKnown = places >= service.capacity;
     double shares = 0;
-    for (const ModelSpec& model : service.models)
+    for (const ModelSpec& model : service.models) {
+        places += m_demand.at(model.name).places();
         shares += model.workShare;
+    }
+    // What operators expect counts until calls fill one replica's places.
+    bool isKnown = places >= service.capacity;
     auto hosts = static_cast<double>(std::ranges::count_if(
         m_context.hosts.hosts(), [&](const auto& entry) { return entry.second.service == service.name; }));
     for (const ModelSpec& model : service.models) {
         // Work is what hosts do: a model's share of it is its share of the hosts.
         double expected = shares > 0 ? hosts * model.workShare / shares / model.hostsPerReplica : 1;
-        double measured = 0.5 + m_inFlight.at(model.name) / (std::max(1u, service.capacity) * wantedUse);
-        wanted[model.name] = isKnown ? measured : expected;
+        wanted[model.name] = isKnown ? m_demand.at(model.name).replicas(service.capacity) : expected;
     }
     return wanted;
 }
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/replicademand.h"
 #include "fleet/replicaplanner.h"
 #include "gateway/context.h"
 #include "gateway/lease.h"
@@ -50,7 +51,8 @@
 
     void tick(uint64_t fencing);
     void planService(const ServiceSpec&, uint64_t fencing);
-    void updateDemand(const ServiceSpec&);
+    void updateDemand();
+    void updateDemand(const std::string& service, const std::string& model);
     std::map<std::string, double, std::less<>> wantedReplicas(const ServiceSpec&) const;
     bool standsStill(std::string_view hostId) const;
     HostContact contact(std::string_view hostId) const;
@@ -72,7 +74,7 @@
     std::map<std::string, Contact, std::less<>> m_contacts;
     std::map<std::string, Address, std::less<>> m_addresses; // Of hosts listed since the lease began, gone ones too.
     std::map<std::string, MonotonicTime, std::less<>> m_statusOf; // The time that a host's latest report is of.
-    std::map<std::string, double, std::less<>> m_inFlight; // By model, smoothed.
+    std::map<std::string, ReplicaDemand, std::less<>> m_demand; // By model.
     MonotonicTime m_summaryAt {};
 };
 
