--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -42,8 +42,6 @@
     constexpr uint32_t resumeQueueExtra = 12;
     // An idempotent call to a plain service tries another server once this one took several times its target.
     constexpr int patienceInTargets = 3;
-    // For each call: twenty of them tell how many are late now.
-    constexpr double lateShareGain = 0.05;
     constexpr Milliseconds leastTry { 200 };
     // Returns are spread over this time.
     constexpr Milliseconds earliestReturn { 400 };
@@ -447,7 +445,6 @@
             co_return false;
         m_firstEventAt = m_context.now();
         m_context.metrics.observe("first_event_seconds", *m_firstEventAt - m_arrived);
-        noteFirstEvent();
     }
     if (events.empty())
         co_return true;
@@ -455,16 +452,6 @@
     co_return !error;
 }
 
-// One that came back, or that a broken replica had first, says nothing of how full replicas may be.
-void CallForwarder::noteFirstEvent()
-{
-    if (!m_servesModels || m_isLate || m_sends > 1)
-        return;
-    double isLate = *m_firstEventAt - m_arrived > m_route->targetLatency ? 1 : 0;
-    auto& share = m_context.demand[m_call.model].lateShare;
-    share = share ? *share + lateShareGain * (isLate - *share) : isLate;
-}
-
 asio::awaitable<void> CallForwarder::answer(HttpResponse response)
 {
     if (!m_keepAlive || m_context.isStopping) {
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -62,7 +62,6 @@
     asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
     asio::awaitable<SendOutcome> passStream(PeerConnection&, BodyParser&);
     asio::awaitable<bool> writeEvents(const ResponseHead&, std::string events);
-    void noteFirstEvent();
     asio::awaitable<SendOutcome> passWhole(const ResponseHead&, const Reply&, std::string body);
 
     // The final answer.
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -24,7 +24,6 @@
 struct ModelDemand {
     uint32_t refusedSinceTick = 0; // Found no place.
     double waiting = 0; // Places that the refused calls would have held; smoothed.
-    std::optional<double> lateShare; // Of first events, those after the route's target; smoothed.
 };
 
 // What the parts of a node share. All of it is used from one event loop, so nothing here has a lock: a host gives its
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -84,14 +84,11 @@
         m_summaryAt = input.now;
         auto summary = planner->summary(input);
         std::map<std::string, double> inFlight;
-        std::map<std::string, double> use;
-        for (const ModelSpec& model : service.models) {
+        for (const ModelSpec& model : service.models)
             inFlight[model.name] = m_demand.at(model.name).places();
-            use[model.name] = m_demand.at(model.name).use();
-        }
         m_context.log.write("replicas",
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
-                { "wanted", wanted }, { "in_flight", inFlight }, { "use", use }, { "dissolving", summary.dissolving },
+                { "wanted", wanted }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
                 { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
                 { "free_by_domain", summary.freeByDomain } });
     }
@@ -113,20 +110,12 @@
 
 void ControllerLoop::updateDemand(const std::string& service, const std::string& model)
 {
-    const ModelDemand& own = m_context.demand[model];
-    double places = m_context.balancer.inFlightOf(service, model) + own.waiting;
-    double late = own.lateShare.value_or(0);
-    int observers = own.lateShare ? 1 : 0;
+    double places = m_context.balancer.inFlightOf(service, model) + m_context.demand[model].waiting;
     m_peers.forEachAlive([&](const PeerDigest& digest) {
         auto waiting = digest.waiting.find(model);
         places += waiting == digest.waiting.end() ? 0 : waiting->second;
-        auto lateThere = digest.lateShare.find(model);
-        if (lateThere == digest.lateShare.end())
-            return;
-        late += lateThere->second;
-        ++observers;
     });
-    m_demand[model].observe(places, observers > 0 ? std::optional(late / observers) : std::nullopt);
+    m_demand[model].observe(places);
 }
 
 std::map<std::string, double, std::less<>> ControllerLoop::wantedReplicas(const ServiceSpec& service) const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -252,11 +252,8 @@
         if (now - at < tellStandingStillFor)
             digest.standingStill.push_back(id);
     }
-    for (const auto& [model, demand] : m_context.demand) {
+    for (const auto& [model, demand] : m_context.demand)
         digest.waiting[model] = demand.waiting;
-        if (demand.lateShare)
-            digest.lateShare[model] = *demand.lateShare;
-    }
     digest.reported = m_controller.recentStatuses();
 }
 
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -61,7 +61,7 @@
         { "peers", digest.peers }, { "zone", digest.zone }, { "stopping", digest.isStopping },
         { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
         { "term", digest.controllerTerm }, { "in_flight", digest.inFlight }, { "waiting", digest.waiting },
-        { "late", digest.lateShare }, { "still", digest.standingStill }, { "known", digest.knownPeers } };
+        { "still", digest.standingStill }, { "known", digest.knownPeers } };
     for (const auto& reported : digest.reported)
         result["reported"].push_back(encodeStatus(reported));
     return result.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -84,7 +84,6 @@
         digest.controllerTerm = entry.at("term").get<uint64_t>();
         digest.inFlight = entry.at("in_flight").get<std::map<std::string, uint32_t, std::less<>>>();
         digest.waiting = entry.at("waiting").get<std::map<std::string, double, std::less<>>>();
-        digest.lateShare = entry.at("late").get<std::map<std::string, double, std::less<>>>();
         digest.standingStill = entry.at("still").get<std::vector<std::string>>();
         digest.knownPeers = entry.at("known").get<std::vector<std::string>>();
         for (const auto& reported : entry.value("reported", json::array())) {
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -32,7 +32,6 @@
     uint64_t configVersion = 0;
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host.
     std::map<std::string, double, std::less<>> waiting; // Places that refused calls would have held, by model.
-    std::map<std::string, double, std::less<>> lateShare; // Of first events, those after their target, by model.
     std::vector<std::string> standingStill; // Heads.
     std::vector<std::string> knownPeers; // Addresses for digests.
     std::vector<ReportedStatus> reported;
--- a/tests/gateway/peerdigest_test.cpp
+++ b/tests/gateway/peerdigest_test.cpp
@@ -31,7 +31,6 @@
     digest.controllerTerm = 31;
     digest.inFlight = { { "host-a", 3 } };
     digest.waiting = { { "large", 1.5 } };
-    digest.lateShare = { { "large", 0.25 } };
     digest.standingStill = { "host-a" };
     digest.knownPeers = { "10.0.0.2:81" };
     ReportedStatus reported;
