--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -14,14 +14,14 @@
     constexpr Milliseconds tickPeriod { 100 };
     constexpr std::chrono::seconds summaryPeriod { 1 };
     // Hosts answer these without a slot, within a round trip.
-    constexpr Milliseconds statusTimeout { 200 };
+    constexpr Milliseconds statusTimeout { 100 };
     constexpr Milliseconds orderTimeout { 600 };
     constexpr Milliseconds askPeriod { 180 };
     constexpr Milliseconds askSilentPeriod { 400 };
     constexpr int failuresOfSilence = 2;
     // Enough to tell a dead host from one that a partition hides; in a small fleet these are all.
     constexpr size_t peersAsked = 8;
-    constexpr Milliseconds peersTimeout { 500 };
+    constexpr Milliseconds peersTimeout { 300 };
     constexpr Milliseconds contactLasts { 2000 };
     constexpr std::chrono::seconds contactKept { 30 }; // After a host was unlisted.
     // Long enough for each peer to hear of a status in some round.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -26,7 +26,7 @@
     constexpr const char* configTarget = "/config";
     // A text of some 100 KB over a link of 20 Mbit/s that callers use too.
     constexpr Milliseconds configTimeout { 1500 };
-    constexpr Milliseconds relayedTimeout { 200 };
+    constexpr Milliseconds relayedTimeout { 100 };
 
 }
 
