Have a few nodes read the store for the others

Change: two nodes of a zone read the list and hand its records on by the store's offsets; three nodes follow the controller's log; the configuration's read waits four seconds, as peers tell of a version too; a node that the store turns away hears from all readers.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,7 +13,8 @@
 namespace {
 
     // A configuration is rare and must be in force everywhere within two seconds: a read waits at the store for it.
-    constexpr LogFollower::Pace configPace { Milliseconds(1500), Milliseconds(0) };
+    // Where its connection falls silent meanwhile, peers tell of the version within half a second.
+    constexpr LogFollower::Pace configPace { Milliseconds(4000), Milliseconds(0) };
     // Hosts write all the time; one read takes what came in this pause. A leaving host may get work for two seconds.
     constexpr LogFollower::Pace hostPace { Milliseconds(1000), Milliseconds(400) };
 
@@ -62,6 +63,14 @@
     , m_entries(io, [this](const HttpRequest& request) { return answerEntries(request); })
     , m_peerServer(io, [this](const HttpRequest& request) { return m_peers.answer(request); })
 {
+    m_hostFollower.readFromPeers(
+        [this](uint64_t from, bool isTurnedAway) { return m_peers.readHosts(from, isTurnedAway); });
+    m_peers.serveHosts([this](uint64_t from) {
+        auto batch = m_hostFollower.feed().from(from, m_context.now());
+        if (batch)
+            batch->storeServedFor = std::chrono::floor<Milliseconds>(m_context.now() - m_health.servesSince());
+        return batch;
+    });
 }
 
 Settled<std::monostate> Gateway::start()
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -25,6 +25,9 @@
     // Nodes that wait for the same end don't claim in the same moment.
     constexpr double claimSpreadMs = 250;
 
+    // Nodes that follow the log and may take over; each record of the holder wakes all that follow.
+    constexpr size_t candidates = 3;
+    constexpr const char* controlDuty = "control";
     constexpr LogFollower::Pace controllerPace { Milliseconds(1500), Milliseconds(50), false };
 
 }
@@ -46,6 +49,7 @@
     , m_self(lifeName(context.settings.name, context.incarnation))
     , m_seenAt(bootNow())
 {
+    m_follower.followWhile([this] { return isCandidate(); });
 }
 
 void ControllerLease::take(const LogRecord& record)
@@ -76,6 +80,8 @@
     m_context.log.write("controller_fenced", { { "fencing", fencing } });
 }
 
+bool ControllerLease::isCandidate() const { return m_holder == m_self || m_peers.isChosen(controlDuty, candidates); }
+
 Milliseconds ControllerLease::takeOverAfter() const
 {
     return m_peers.hears(m_holder) ? takeOverFromHeard : takeOverFromSilent;
@@ -91,7 +97,7 @@
         BootTime waited = bootNow() - (isOwn ? m_validFrom : m_seenAt);
         bool isFree = m_holder.empty();
         // A node that the store turns away sees no renewals either; that is no reason to take over.
-        if (!isOwn && !m_health.isServing())
+        if (!isOwn && (!m_health.isServing() || !isCandidate()))
             continue;
         if (isOwn ? waited >= renewEvery : (isFree || waited >= takeOverAfter())) {
             if (!isOwn)
--- a/src/gateway/lease.h
+++ b/src/gateway/lease.h
@@ -45,6 +45,9 @@
     void take(const LogRecord&);
     asio::awaitable<void> claim(bool isRelease);
     Milliseconds takeOverAfter() const;
+    // Others neither follow the log nor claim. One that becomes a candidate may hold old news, and a claim on that
+    // fails.
+    bool isCandidate() const;
 
     GatewayContext& m_context;
     const StoreHealth& m_health;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,20 +1,23 @@
 #include "gateway/peers.h"
 
+#include "fleet/rendezvous.h"
 #include "gateway/asio.h"
 #include "gateway/relay.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace Kumquatpick {
 
 namespace {
 
     constexpr Milliseconds roundPeriod { 250 };
-    // Four rounds: one lost packet costs its sender a second.
-    constexpr Milliseconds aliveFor { 1300 };
+    // On top of the time in which each peer is called once: one lost packet costs its sender a second.
+    constexpr Milliseconds silenceAllowed { 1050 };
     constexpr Milliseconds callTimeout { 800 };
     // Peers that a round calls; in a small fleet, all of them.
     constexpr size_t peersPerRound = 8;
@@ -24,6 +27,14 @@
     constexpr int triesBeforeForgotten = 40;
     constexpr const char* relayTarget = "/relay";
     constexpr const char* configTarget = "/config";
+    constexpr const char* hostsTarget = "/hosts?from=";
+    // Readers of the store in each zone: while one fails, the other goes on.
+    constexpr size_t readersPerZone = 2;
+    constexpr const char* readHostsDuty = "read-hosts";
+    constexpr Milliseconds readTimeout { 300 };
+    constexpr Milliseconds readAgainAfter { 2000 };
+    // One that did not hear from the store for longer may be cut off from it.
+    constexpr Milliseconds longestReaderAge { 1000 };
     // A text of some 100 KB over a link of 20 Mbit/s that callers use too.
     constexpr Milliseconds configTimeout { 1500 };
     constexpr Milliseconds relayedTimeout { 100 };
@@ -48,7 +59,13 @@
 
 bool Peers::isAlive(const Peer& peer) const
 {
-    return !peer.digest.name.empty() && m_context.now() - peer.heardAt < aliveFor;
+    return !peer.digest.name.empty() && m_context.now() - peer.heardAt < aliveFor();
+}
+
+Milliseconds Peers::aliveFor() const
+{
+    size_t roundsForAll = (m_peers.size() + peersPerRound - 1) / peersPerRound;
+    return silenceAllowed + roundPeriod * static_cast<int>(std::max<size_t>(1, roundsForAll));
 }
 
 asio::awaitable<void> Peers::run()
@@ -71,7 +88,10 @@
         if (!peer.isBusy && !isSlow)
             due.push_back(address);
     }
+    // In turn, so that none waits for longer than the others: drawn at random, one in five of sixty nodes was taken for
+    // silent at any moment.
     std::ranges::shuffle(due, m_context.random);
+    std::ranges::stable_sort(due, {}, [this](const std::string& address) { return m_peers[address].triedAt; });
     due.resize(std::min(due.size(), peersPerRound));
     for (std::string& address : due)
         asio::co_spawn(m_context.io, call(std::move(address)), asio::detached);
@@ -111,6 +131,8 @@
         co_return co_await answerRelayed(request);
     if (request.target() == configTarget)
         co_return answerConfig();
+    if (request.target().starts_with(hostsTarget))
+        co_return answerHosts(request);
     co_return answerDigest(request);
 }
 
@@ -174,6 +196,90 @@
     return response;
 }
 
+HttpResponse Peers::answerHosts(const HttpRequest& request)
+{
+    std::string_view text = toView(request.target()).substr(std::string_view(hostsTarget).size());
+    uint64_t from = 0;
+    std::from_chars(text.data(), text.data() + text.size(), from);
+    auto batch = m_feedHosts ? m_feedHosts(from) : std::nullopt;
+    HttpResponse response(batch ? http::status::ok : http::status::gone, 11);
+    if (batch)
+        response.body() = encode(*batch);
+    countBytes("hosts", m_context.settings.zone, response.body().size());
+    return response;
+}
+
+// Nodes that are alive, by their addresses for digests, this one among them; of all zones if none is given.
+std::vector<std::string> Peers::nodesOf(std::string_view zone) const
+{
+    std::vector<std::string> nodes { m_context.settings.peers.toString() };
+    for (const auto& [address, peer] : m_peers) {
+        bool isOfZone = zone.empty() || peer.digest.zone == zone;
+        if (isAlive(peer) && isOfZone && !peer.digest.isStopping)
+            nodes.push_back(address);
+    }
+    return nodes;
+}
+
+bool Peers::isChosen(std::string_view duty, size_t count) const
+{
+    auto chosen = chooseNodes(nodesOf({}), duty, count);
+    return std::ranges::find(chosen, m_context.settings.peers.toString()) != chosen.end();
+}
+
+// Those of the own zone; none if this node is one of them, unless the store turns it away.
+std::vector<std::string> Peers::hostReaders(bool isTurnedAway) const
+{
+    std::string self = m_context.settings.peers.toString();
+    auto readers = chooseNodes(nodesOf(m_context.settings.zone), readHostsDuty, readersPerZone);
+    bool isReader = std::ranges::find(readers, self) != readers.end();
+    if (isReader && !isTurnedAway)
+        return {};
+    std::erase(readers, self);
+    if (!isTurnedAway)
+        return readers;
+    std::set<std::string> zones;
+    for (const auto& [address, peer] : m_peers) {
+        if (isAlive(peer) && peer.digest.zone != m_context.settings.zone)
+            zones.insert(peer.digest.zone);
+    }
+    for (const std::string& zone : zones) {
+        auto nodes = nodesOf(zone);
+        std::erase(nodes, self);
+        std::ranges::move(chooseNodes(nodes, readHostsDuty, readersPerZone), std::back_inserter(readers));
+    }
+    return readers;
+}
+
+asio::awaitable<std::optional<RecordBatch>> Peers::readHosts(uint64_t from, bool isTurnedAway)
+{
+    for (const std::string& reader : hostReaders(isTurnedAway)) {
+        auto peer = m_peers.find(reader);
+        if (peer == m_peers.end() || m_context.now() - peer->second.readFailedAt < readAgainAfter)
+            continue;
+        auto batch = co_await readHostsAt(reader, from);
+        if (batch && batch->age <= longestReaderAge)
+            co_return batch;
+        peer = m_peers.find(reader);
+        if (peer != m_peers.end())
+            peer->second.readFailedAt = m_context.now();
+        m_context.log.write(
+            "reader_failed", { { "peer", reader }, { "from", from }, { "age_ms", batch ? batch->age.count() : -1 } });
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<RecordBatch>> Peers::readHostsAt(std::string address, uint64_t from)
+{
+    auto parsed = settle([&] { return Address::parse(address); });
+    HttpRequest request(http::verb::get, hostsTarget + std::to_string(from), 11);
+    auto answer
+        = co_await m_context.pool.exchange(std::get<Address>(parsed), std::move(request), readTimeout, Step::Gossip);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    bool isOk = response && response->result() == http::status::ok;
+    co_return isOk ? decodeRecordBatch(response->body()) : std::nullopt;
+}
+
 asio::awaitable<void> Peers::askForConfig(std::string address)
 {
     auto parsed = settle([&] { return Address::parse(address); });
@@ -247,15 +353,18 @@
     m_take(peer.digest);
 }
 
+// A peer that did not answer the last call may have ended: callers get its address only if there is no other.
 std::vector<std::string> Peers::callerAddresses(std::string_view zone) const
 {
     std::vector<std::string> result;
+    std::vector<std::string> doubtful;
     for (const auto& [address, peer] : m_peers) {
         bool isOfZone = zone.empty() || peer.digest.zone == zone;
-        if (isAlive(peer) && peer.digest.isReady && !peer.digest.isStopping && isOfZone)
-            result.push_back(peer.digest.callers);
+        if (!isAlive(peer) || !peer.digest.isReady || peer.digest.isStopping || !isOfZone)
+            continue;
+        (peer.failures == 0 ? result : doubtful).push_back(peer.digest.callers);
     }
-    return result;
+    return result.empty() ? doubtful : result;
 }
 
 bool Peers::hears(std::string_view life) const
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -3,6 +3,7 @@
 #include "fleet/configcatchup.h"
 #include "gateway/context.h"
 #include "gateway/peerdigest.h"
+#include "gateway/recordfeed.h"
 
 #include <functional>
 #include <map>
@@ -28,6 +29,13 @@
     // Has a peer make a call to a backend server. Fails with Malformed if the peer itself gave no answer.
     asio::awaitable<Settled<HttpResponse>> relay(std::string peer, Address host, HttpRequest);
     std::vector<std::string> aliveAddresses() const;
+    // Records of the list of backend servers from another node of this zone, if one reads the store for this one.
+    asio::awaitable<std::optional<RecordBatch>> readHosts(uint64_t from, bool isTurnedAway);
+    // Gives the records that readHosts() of other nodes asks for.
+    using FeedHosts = std::function<std::optional<RecordBatch>(uint64_t from)>;
+    void serveHosts(FeedHosts feed) { m_feedHosts = std::move(feed); }
+    // Whether this node is one of so many that take on a duty for all.
+    bool isChosen(std::string_view duty, size_t count) const;
 
     // Addresses where other nodes that are alive and take requests do so.
     std::vector<std::string> callerAddresses(std::string_view zone) const;
@@ -51,9 +59,13 @@
         MonotonicTime triedAt {};
         int failures = 0;
         bool isBusy = false; // A call to it is under way.
+        MonotonicTime readFailedAt {}; // It did not hand on records.
     };
 
     bool isAlive(const Peer&) const;
+    Milliseconds aliveFor() const;
+    std::vector<std::string> nodesOf(std::string_view zone) const;
+    std::vector<std::string> hostReaders(bool isTurnedAway) const;
     uint64_t configVersion() const;
     PeerDigest ownDigest();
     asio::awaitable<void> askForConfig(std::string address);
@@ -61,6 +73,8 @@
     asio::awaitable<void> call(std::string address);
     HttpResponse answerDigest(const HttpRequest&);
     HttpResponse answerConfig() const;
+    HttpResponse answerHosts(const HttpRequest&);
+    asio::awaitable<std::optional<RecordBatch>> readHostsAt(std::string address, uint64_t from);
     asio::awaitable<HttpResponse> answerRelayed(const HttpRequest&);
     void countBytes(const char* kind, std::string_view zone, size_t bytes);
 
@@ -69,6 +83,7 @@
     TakeDigest m_take;
     TakeConfig m_takeConfig;
     ConfigCatchUp m_catchUp;
+    FeedHosts m_feedHosts;
     std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
 };
 
--- /dev/null
+++ b/src/gateway/recordfeed.cpp
@@ -0,0 +1,104 @@
+#include "gateway/recordfeed.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Some ten seconds of the heartbeats of 200 hosts; a small part of a host's memory.
+    constexpr size_t mostBytesKept = 512 * 1024;
+
+    size_t sizeOf(const LogRecord& record) { return record.key.size() + record.value.value_or("").size(); }
+
+    json binary(std::string_view bytes) { return json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end())); }
+
+    std::string text(const json& value)
+    {
+        const auto& bytes = value.get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+}
+
+void RecordFeed::took(uint64_t from, const LogPage& page, MonotonicTime now)
+{
+    if (from != m_next)
+        restart(from, now);
+    for (const LogRecord& record : page.records) {
+        m_records.push_back(record);
+        m_bytes += sizeOf(record);
+    }
+    while (m_bytes > mostBytesKept) {
+        m_bytes -= sizeOf(m_records.front());
+        m_records.pop_front();
+    }
+    m_next = page.nextOffset;
+    m_readAt = now;
+}
+
+void RecordFeed::restart(uint64_t nextOffset, MonotonicTime now)
+{
+    m_records.clear();
+    m_bytes = 0;
+    m_next = nextOffset;
+    m_readAt = now;
+}
+
+std::optional<RecordBatch> RecordFeed::from(uint64_t offset, MonotonicTime now) const
+{
+    uint64_t first = m_records.empty() ? m_next : m_records.front().offset;
+    if (!m_readAt || offset < first)
+        return std::nullopt;
+    RecordBatch batch;
+    batch.nextOffset = std::max(offset, m_next);
+    batch.age = std::chrono::ceil<Milliseconds>(now - *m_readAt);
+    std::ranges::copy_if(
+        m_records, std::back_inserter(batch.records), [&](const LogRecord& record) { return record.offset >= offset; });
+    return batch;
+}
+
+// CBOR: a record's bytes are whatever its writer left, which JSON text can't hold.
+std::string encode(const RecordBatch& batch)
+{
+    json records = json::array();
+    for (const LogRecord& record : batch.records) {
+        json entry { { "k", binary(record.key) }, { "o", record.offset } };
+        if (record.value)
+            entry["v"] = binary(*record.value);
+        if (!record.isReadable)
+            entry["bad"] = true;
+        records.push_back(std::move(entry));
+    }
+    auto bytes = json::to_cbor(json { { "records", std::move(records) }, { "next", batch.nextOffset },
+        { "age_ms", batch.age.count() }, { "served_ms", batch.storeServedFor.count() } });
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<RecordBatch> decodeRecordBatch(std::string_view bytes)
+{
+    try {
+        json document = json::from_cbor(bytes.begin(), bytes.end());
+        RecordBatch batch;
+        batch.nextOffset = document.at("next").get<uint64_t>();
+        batch.age = Milliseconds(document.at("age_ms").get<int64_t>());
+        batch.storeServedFor = Milliseconds(document.at("served_ms").get<int64_t>());
+        for (const auto& entry : document.at("records")) {
+            LogRecord record;
+            record.key = text(entry.at("k"));
+            record.offset = entry.at("o").get<uint64_t>();
+            if (entry.contains("v"))
+                record.value = text(entry["v"]);
+            record.isReadable = !entry.contains("bad");
+            batch.records.push_back(std::move(record));
+        }
+        return batch;
+    } catch (const json::exception&) {
+        return std::nullopt; // Its reader logs it with the peer's address.
+    }
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/recordfeed.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/clock.h"
+#include "gateway/platform.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Kumquatpick {
+
+// Records of one log that a reader of the store hands on to the other nodes of its zone. Offsets are the store's, so a
+// node may read on here, at another reader or at the store itself, in any order.
+struct RecordBatch {
+    std::vector<LogRecord> records; // Without a gap between them.
+    uint64_t nextOffset = 0;
+    Milliseconds age {}; // Since the reader last heard from the store.
+    Milliseconds storeServedFor {}; // Since the store began to serve the reader again: entries may have lapsed before.
+};
+
+// What one node read of a log lately. Bounded: who lags further reads from the store. Not thread-safe.
+class RecordFeed {
+public:
+    // A page that was read from this offset on.
+    void took(uint64_t from, const LogPage&, MonotonicTime now);
+    // The log was listed anew, or read elsewhere meanwhile.
+    void restart(uint64_t nextOffset, MonotonicTime now);
+    // Nothing if records from there on are not kept, or none was read yet.
+    std::optional<RecordBatch> from(uint64_t offset, MonotonicTime now) const;
+
+private:
+    std::deque<LogRecord> m_records;
+    size_t m_bytes = 0;
+    uint64_t m_next = 0;
+    std::optional<MonotonicTime> m_readAt;
+};
+
+std::string encode(const RecordBatch&);
+// Nothing if it can't be read.
+std::optional<RecordBatch> decodeRecordBatch(std::string_view);
+
+} // namespace Kumquatpick
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -14,6 +14,9 @@
     constexpr Milliseconds listingTimeout { 1500 };
     constexpr Milliseconds firstBackOff { 100 };
     constexpr Milliseconds longestBackOff { 800 };
+    constexpr Milliseconds notWantedPause { 200 };
+    // A node that the store turned away hears the rest from its peers meanwhile.
+    constexpr Milliseconds tryStoreAgainAfter { 1000 };
     // One lost answer is no interruption.
     constexpr int failuresOfInterruption = 2;
 
@@ -50,7 +53,15 @@
 asio::awaitable<void> LogFollower::run()
 {
     for (;;) {
-        bool isDone = m_pace.isKeyed && !m_isListed ? co_await listNewest() : co_await readOn();
+        if (!m_isWanted()) {
+            co_await pause(notWantedPause);
+            continue;
+        }
+        bool isListing = m_pace.isKeyed && !m_isListed;
+        bool isStoreDue = m_failures > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
+        bool isDone = !isListing && !isStoreDue && co_await readFromPeer();
+        if (!isDone)
+            isDone = isListing ? co_await listNewest() : co_await readOn();
         if (!isDone)
             co_await backOff();
         else if (m_pace.pauseAfter.count() > 0)
@@ -88,6 +99,7 @@
         m_handlers.record(record);
     m_handlers.endListing();
     m_next = *end;
+    m_feed.restart(m_next, m_context.now());
     m_isListed = true;
     m_failures = 0;
     co_return true;
@@ -96,6 +108,7 @@
 asio::awaitable<bool> LogFollower::readOn()
 {
     m_context.metrics.count("store_calls_total{kind=\"read\"}");
+    m_storeTriedAt = m_context.now();
     auto answer = co_await m_context.pool.exchange(m_context.settings.store,
         m_context.platform.readLog(m_log, m_next, m_pace.wait), m_pace.wait + answerTimeout, Step::LogRead);
     auto* response = std::get_if<HttpResponse>(&answer);
@@ -110,9 +123,28 @@
     const LogPage& found = std::get<LogPage>(page);
     if (found.isGap)
         m_isListed = false;
-    for (const LogRecord& record : found.records)
+    m_feed.took(m_next, found, m_context.now());
+    takeRecords(found.records, found.nextOffset);
+    co_return true;
+}
+
+void LogFollower::takeRecords(const std::vector<LogRecord>& records, uint64_t nextOffset)
+{
+    for (const LogRecord& record : records)
         m_handlers.record(record);
-    m_next = found.nextOffset;
+    m_next = nextOffset;
+}
+
+asio::awaitable<bool> LogFollower::readFromPeer()
+{
+    if (!m_readFromPeer)
+        co_return false;
+    auto batch = co_await m_readFromPeer(m_next, m_failures > 0);
+    bool isContiguous = batch && (batch->records.empty() || batch->records.front().offset == m_next);
+    if (!isContiguous)
+        co_return false;
+    m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
+    takeRecords(batch->records, batch->nextOffset);
     co_return true;
 }
 
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/context.h"
+#include "gateway/recordfeed.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
     void answered();
     void failed(const Error&);
     bool isServing() const { return m_isServing; }
+    // The same, as a node told that reads the store for this one.
+    void servesPeerSince(MonotonicTime since) { m_servesSince = std::max(m_servesSince, since); }
     // When the store last began to serve this node again after an interruption.
     MonotonicTime servesSince() const { return m_servesSince; }
 
@@ -45,7 +48,16 @@
         bool isKeyed = true;
     };
 
+    // Reads on from another node in place of the store; nothing if no node can be asked or none answers in time. A node
+    // that the store turns away asks all that read it.
+    using ReadFromPeer = std::function<asio::awaitable<std::optional<RecordBatch>>(uint64_t from, bool isTurnedAway)>;
+
     LogFollower(GatewayContext&, StoreHealth&, LogName, Pace, Handlers);
+    void readFromPeers(ReadFromPeer read) { m_readFromPeer = std::move(read); }
+    // Follows only while this holds; reads on from where it was once it holds again.
+    void followWhile(std::function<bool()> isWanted) { m_isWanted = std::move(isWanted); }
+    // What was read lately, for other nodes.
+    const RecordFeed& feed() const { return m_feed; }
     // Until the event loop ends.
     asio::awaitable<void> run();
     uint64_t nextOffset() const { return m_next; }
@@ -53,6 +65,8 @@
 private:
     asio::awaitable<bool> listNewest();
     asio::awaitable<bool> readOn();
+    asio::awaitable<bool> readFromPeer();
+    void takeRecords(const std::vector<LogRecord>&, uint64_t nextOffset);
     asio::awaitable<void> backOff();
 
     GatewayContext& m_context;
@@ -60,9 +74,13 @@
     LogName m_log;
     Pace m_pace;
     Handlers m_handlers;
+    ReadFromPeer m_readFromPeer;
+    std::function<bool()> m_isWanted = [] { return true; };
+    RecordFeed m_feed;
     uint64_t m_next = 0;
     bool m_isListed = false;
     int m_failures = 0;
+    MonotonicTime m_storeTriedAt {};
 };
 
 } // namespace Kumquatpick
--- /dev/null
+++ b/tests/gateway/recordfeed_test.cpp
@@ -0,0 +1,88 @@
+#include "gateway/recordfeed.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+
+    LogPage page(uint64_t from, int count, const std::string& value = "{}")
+    {
+        LogPage result;
+        for (int i = 0; i < count; ++i)
+            result.records.push_back({ "host-" + std::to_string(i), value, from + static_cast<uint64_t>(i), true });
+        result.nextOffset = from + static_cast<uint64_t>(count);
+        return result;
+    }
+
+}
+
+TEST(RecordFeed, HandsOnWhatAReaderLacks)
+{
+    RecordFeed feed;
+    EXPECT_FALSE(feed.from(0, start)) << "nothing was read yet";
+    feed.restart(40, start);
+    feed.took(40, page(40, 5), start + Milliseconds(100));
+    auto batch = feed.from(42, start + Milliseconds(300));
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->records.size(), 3u);
+    EXPECT_EQ(batch->records[0].offset, 42u);
+    EXPECT_EQ(batch->nextOffset, 45u);
+    EXPECT_EQ(batch->age, Milliseconds(200));
+    EXPECT_FALSE(feed.from(39, start)) << "deleted or never read here";
+}
+
+// A node that read the store itself may be ahead of its reader.
+TEST(RecordFeed, NeverSendsAReaderBack)
+{
+    RecordFeed feed;
+    feed.restart(40, start);
+    auto batch = feed.from(50, start);
+    ASSERT_TRUE(batch);
+    EXPECT_TRUE(batch->records.empty());
+    EXPECT_EQ(batch->nextOffset, 50u);
+}
+
+TEST(RecordFeed, LeavesNoGapAfterReadingElsewhere)
+{
+    RecordFeed feed;
+    feed.restart(40, start);
+    feed.took(40, page(40, 5), start);
+    feed.took(60, page(60, 2), start);
+    EXPECT_FALSE(feed.from(44, start));
+    EXPECT_EQ(feed.from(60, start)->records.size(), 2u);
+}
+
+TEST(RecordFeed, KeepsABoundedPart)
+{
+    RecordFeed feed;
+    uint64_t next = 0;
+    for (int i = 0; i < 100; ++i) {
+        feed.took(next, page(next, 20, std::string(1000, 'x')), start);
+        next += 20;
+    }
+    EXPECT_FALSE(feed.from(0, start));
+    auto batch = feed.from(next - 100, start);
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->records.size(), 100u);
+}
+
+RC_GTEST_PROP(
+    RecordFeed, ComesBackAsItWasWhateverTheBytes, (const std::string& key, const std::string& value, bool isGone))
+{
+    RecordBatch batch;
+    LogRecord record { key, value, 7, true };
+    if (isGone)
+        record.value.reset();
+    batch.records = { record };
+    batch.nextOffset = 8;
+    auto read = decodeRecordBatch(encode(batch));
+    RC_ASSERT(read && read->records.size() == 1u && read->nextOffset == 8u);
+    RC_ASSERT(read->records[0].key == key && read->records[0].value == record.value);
+    decodeRecordBatch(value);
+}
+
+} // namespace Kumquatpick
