Begin the first plan only once all hosts are listed; let homes bind until a model has enough

Cause: read from the controller's lines at sixty nodes: 4 replicas of the large model formed of 10.1 wanted, as the plan began after 3.5 s, when a third of 162 hosts were yet to be listed, and pairs took the domains.

--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -28,11 +28,13 @@
     // Replicas that give way finish what they have for this long; what is longer goes on elsewhere.
     constexpr Milliseconds retireGrace { 600 };
     constexpr Milliseconds longestShift { 5000 };
-    // At the very start sixty hosts appear in the list one by one within some 2.2 s; where each model is at home is
+    // At the very start hosts appear in the list one by one, some forty a second; where each model is at home is
     // settled once they have. Begun half a second earlier, pairs of early hosts spoilt a domain of ten for the large
     // model.
     constexpr Milliseconds settledAfter { 600 };
-    constexpr Milliseconds longestSettling { 3500 };
+    // Loads are short then and take some three seconds in all. Begun after 3.5 s, when a third of 162 hosts were yet to
+    // appear, pairs took most of their domains: 4 replicas of eight hosts formed of the 10 that were wanted.
+    constexpr Milliseconds longestSettling { 7000 };
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
@@ -420,7 +422,9 @@
     std::optional<Candidate> best;
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         const ModelSpec* home = input.service.model(m_homes.homeOf(domain));
-        bool homeFirst = input.loadsAreFree && home && hosts.size() >= home->hostsPerReplica;
+        // Only until that model has what is wanted: what is left of its domains may serve others.
+        bool homeFirst
+            = input.loadsAreFree && home && hosts.size() >= home->hostsPerReplica && needs.at(home->name) > 1;
         for (const ModelSpec& model : input.service.models) {
             auto candidate = candidateIn(input, model, hosts, needs);
             if (!candidate || isKeptFor(domain, model.name) || (homeFirst && &model != home))
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -38,6 +38,38 @@
     }
 }
 
+// The list names some forty hosts a second: the first plan of 162 hosts begins once all of nine domains are known.
+TEST(ReplicaPlanner, WaitsForHostsThatAppearOneByOne)
+{
+    PlannerWorld world({ modelOf("large", 8), modelOf("small", 2) });
+    world.wanted = { { "large", 10.1 }, { "small", 40.5 } };
+    for (int i = 0; i < 162; ++i) {
+        world.addHost("host-" + std::to_string(i), "domain-" + std::to_string(i % 9));
+        if (i % 4 == 3)
+            world.run(Milliseconds(100));
+    }
+    world.run(Milliseconds(2000));
+    auto open = world.openReplicas();
+    auto large = std::ranges::count_if(open, [](const ReplicaView& replica) { return replica.model == "large"; });
+    EXPECT_GE(large, 9);
+    EXPECT_LE(large, 11);
+}
+
+// Six domains of ten: three are home to the large model and hold six replicas of it; the seventh of the 7.5 that are
+// wanted fits where the small model has enough.
+TEST(ReplicaPlanner, FormsWhatIsWantedBeyondTheHomesOfAModel)
+{
+    PlannerWorld world({ modelOf("large", 4), modelOf("small", 2) });
+    world.wanted = { { "large", 7.5 }, { "small", 15 } };
+    for (int i = 0; i < 60; ++i)
+        world.addHost("host-" + std::to_string(i), "domain-" + std::to_string(i % 6));
+    world.run(Milliseconds(2000));
+    auto open = world.openReplicas();
+    auto large = std::ranges::count_if(open, [](const ReplicaView& replica) { return replica.model == "large"; });
+    EXPECT_EQ(large, 7);
+    EXPECT_EQ(open.size(), 23u);
+}
+
 TEST(ReplicaPlanner, OpensOnlyOnceEveryMemberIsReady)
 {
     PlannerWorld world = pairOfHosts();
