--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -34,8 +34,8 @@
         std::string model;
         MonotonicTime begun;
     };
-    // A load for a host that holds no model yet.
-    struct FirstModel {
+    // A load for a host that belongs to no replica.
+    struct IdleLoad {
         const Host* host = nullptr;
         std::string_view model;
         double value = 0;
@@ -43,7 +43,8 @@
 
     void dropEnded(const PlannerInput&);
     void stageIdleHosts(const PlannerInput&, const ModelNeeds&, const HostsByDomain&, std::vector<HostOrder>&);
-    void chooseFirstModel(const PlannerInput&, const Host&, const ModelNeeds&, std::optional<FirstModel>& best) const;
+    void chooseIdleLoad(const PlannerInput&, const Host&, const std::vector<const Host*>& idle, const ModelNeeds&,
+        std::optional<IdleLoad>& best) const;
     void stageSecondModels(const PlannerInput&, const ModelNeeds&, std::vector<HostOrder>&);
     bool isStaging(const Host&, std::string_view model) const;
     bool mayLoad(const PlannerInput&, uint32_t atOnce);
