--- /dev/null
+++ b/src/fleet/mechanism.cpp
@@ -0,0 +1,21 @@
+#include "fleet/mechanism.h"
+
+#include <algorithm>
+
+namespace Kumquatpick {
+
+std::optional<MechanismsOff> MechanismsOff::parse(std::string_view list)
+{
+    MechanismsOff off;
+    while (!list.empty()) {
+        std::string_view item = list.substr(0, list.find(','));
+        list.remove_prefix(std::min(list.size(), item.size() + 1));
+        auto found = std::ranges::find(mechanismNames, item);
+        if (found == mechanismNames.end())
+            return std::nullopt;
+        off.m_bits |= 1u << static_cast<unsigned>(found - mechanismNames.begin());
+    }
+    return off;
+}
+
+} // namespace Kumquatpick
--- a/src/fleet/plannerinput.h
+++ b/src/fleet/plannerinput.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "fleet/config.h"
 #include "fleet/hosttable.h"
+#include "fleet/mechanism.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,7 @@
     // Heads whose streams stand still, as nodes see it.
     std::function<bool(std::string_view hostId)> standsStill;
     bool loadsAreFree = false; // Before the first request.
+    MechanismsOff off {};
 
     // It stays, and no direct call says otherwise.
     bool isUsable(std::string_view hostId) const;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -478,7 +478,7 @@
 {
     if (m_shift && input.now - m_shift->begun > longestShift)
         m_shift.reset();
-    if (m_shift || input.loadsAreFree)
+    if (m_shift || input.loadsAreFree || input.off.contains(Mechanism::Shift))
         return;
     std::vector<ReplicaView> replicas = input.hosts.replicas();
     auto domains = shiftDomains(input, replicas);
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/balancer.h"
 #include "fleet/hosttable.h"
+#include "fleet/mechanism.h"
 #include "fleet/patienceprofile.h"
 #include "fleet/retryallowance.h"
 #include "fleet/routetable.h"
@@ -33,6 +34,7 @@
         : io(ioContext)
         , settings(s)
         , platform(p)
+        , off(MechanismsOff::parse(s.without).value_or(MechanismsOff()))
         , pool(ioContext.get_executor())
         , balancer(s.zone)
         , retries(s.retryLimits(), monotonicNow())
@@ -45,6 +47,7 @@
     asio::io_context& io;
     const GatewaySettings& settings;
     const Platform& platform;
+    const MechanismsOff off;
     std::shared_ptr<const RouteTable> routes; // nullptr until a configuration is known.
     std::string configText; // As the store has it; handed to nodes that lack it.
     HostTable hosts;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -1,7 +1,11 @@
 #include "gateway/settings.h"
 
+#include "fleet/mechanism.h"
+
 #include <algorithm>
 #include <charconv>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace Kumquatpick {
 
@@ -26,6 +30,8 @@
         return error == std::errc {} && end == text.data() + text.size() && value >= 0 && value <= 1;
     }
 
+    bool areMechanisms(std::string_view list) { return MechanismsOff::parse(list).has_value(); }
+
     std::vector<SettingGroup> groups(GatewaySettings& s)
     {
         return {
@@ -76,6 +82,14 @@
                         .unit = "requests",
                         .highest = 1000 },
                 } },
+            { "Measurement",
+                {
+                    { .flag = "without",
+                        .into = &s.without,
+                        .help = "parts of the policy to switch off, by commas",
+                        .accepts = areMechanisms,
+                        .expected = fmt::format("names of {}", fmt::join(mechanismNames, ", ")) },
+                } },
         };
     }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -30,6 +30,8 @@
     uint64_t retryAllowance = 100; // On top, for the whole fleet, in each window.
     uint64_t queuePerReplica = 2; // Calls that may wait at a replica beyond its places and still be in time.
 
+    std::string without; // Parts of the policy that are off, by mechanismNames; for measuring what they are worth.
+
     RetryLimits retryLimits() const;
     std::vector<Address> seedAddresses() const;
 
--- /dev/null
+++ b/tests/fleet/mechanism_test.cpp
@@ -0,0 +1,17 @@
+#include "fleet/mechanism.h"
+
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+TEST(Mechanism, ReadsWhatIsSwitchedOff)
+{
+    EXPECT_FALSE(MechanismsOff::parse("")->contains(Mechanism::Shift));
+    auto off = MechanismsOff::parse("control-candidates,shift");
+    ASSERT_TRUE(off);
+    EXPECT_TRUE(off->contains(Mechanism::Shift) && off->contains(Mechanism::ControlCandidates));
+    EXPECT_FALSE(off->contains(Mechanism::Resume));
+    EXPECT_FALSE(MechanismsOff::parse("shift,unknown"));
+}
+
+} // namespace Kumquatpick
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -300,6 +300,7 @@
     auto large = std::ranges::find(replicas, std::string("large"), &ReplicaView::model);
     ASSERT_NE(large, replicas.end());
     world.loadsAreFree = false;
+    world.wanted = { { "large", 3 }, { "small", 4 } };
     world.loadsByJoin = 0;
     for (const Host* lost : { large->members[1], large->members[2] })
         world.contacts[lost->id] = HostContact::Silent;
