--- a/src/fleet/mechanism.h
+++ b/src/fleet/mechanism.h
@@ -24,7 +24,7 @@
     ControlCandidates, // A few nodes follow the controller's log and may take over.
 };
 
-constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
+inline constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
     "return-order", "early-refusal", "return-spread", "relayed-probes", "conditional-joins", "store-readers",
     "control-candidates" };
 
--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -44,7 +44,8 @@
     m_otherLoads = otherLoads;
     dropEnded(input);
     stageIdleHosts(input, needs, freeHosts, orders);
-    stageSecondModels(input, needs, orders);
+    if (!input.off.contains(Mechanism::SecondModels))
+        stageSecondModels(input, needs, orders);
 }
 
 void ModelStaging::dropEnded(const PlannerInput& input)
@@ -84,7 +85,7 @@
     bool isCold = status.lastModel.empty() && status.stagedModels.empty();
     // A load takes the place of the staged copy, which is all that a host has which ran nothing yet.
     bool wouldLoseItsOnly = status.lastModel.empty() && !isCold;
-    if (wouldLoseItsOnly)
+    if (wouldLoseItsOnly || (!isCold && input.off.contains(Mechanism::StuckLoads)))
         return;
     for (const ModelSpec& model : input.service.models) {
         if (status.holds(model.name))
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -423,8 +423,8 @@
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         const ModelSpec* home = input.service.model(m_homes.homeOf(domain));
         // Only until that model has what is wanted: what is left of its domains may serve others.
-        bool homeFirst
-            = input.loadsAreFree && home && hosts.size() >= home->hostsPerReplica && needs.at(home->name) > 1;
+        bool homeFirst = input.loadsAreFree && !input.off.contains(Mechanism::Homes) && home
+            && hosts.size() >= home->hostsPerReplica && needs.at(home->name) > 1;
         for (const ModelSpec& model : input.service.models) {
             auto candidate = candidateIn(input, model, hosts, needs);
             if (!candidate || isKeptFor(domain, model.name) || (homeFirst && &model != home))
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -135,7 +135,7 @@
 void CallForwarder::startClock()
 {
     m_context.anyCallSeen = true;
-    m_isLate = m_servesModels && comesTooLate();
+    m_isLate = m_servesModels && comesTooLate() && !m_context.off.contains(Mechanism::ReturnOrder);
     m_deadline = std::min(m_deadline, m_arrived + m_route->timeout);
     m_active->timer.expires_at(m_deadline);
     m_active->timer.async_wait([active = m_active](const auto& error) {
@@ -180,7 +180,11 @@
 
 // A new call that finds no place is refused at once: one that waits could not be in time. A stream that has begun is
 // worth waiting for a little.
-MonotonicTime CallForwarder::waitsForHostUntil() const { return m_runs > 0 ? m_context.now() + resumeWait : m_arrived; }
+MonotonicTime CallForwarder::waitsForHostUntil() const
+{
+    bool isHeld = m_runs > 0 || m_context.off.contains(Mechanism::EarlyRefusal);
+    return isHeld ? m_context.now() + resumeWait : m_arrived;
+}
 
 asio::awaitable<bool> CallForwarder::awaitHost()
 {
@@ -206,6 +210,8 @@
         return false;
     if (outcome != SendOutcome::NotRun && !mayRepeat())
         return false;
+    if (m_headPassed && m_context.off.contains(Mechanism::Resume))
+        return false;
     if (m_runs >= m_route->maxAttempts || m_sends >= mostSends)
         return false;
     m_tried.push_back(m_hostId);
@@ -482,7 +488,8 @@
 // the time that it has left.
 Milliseconds CallForwarder::comeBackIn()
 {
-    auto spread = std::chrono::duration_cast<Milliseconds>(returnSpread * m_context.draw());
+    double draw = m_context.off.contains(Mechanism::ReturnSpread) ? 0.5 : m_context.draw();
+    auto spread = std::chrono::duration_cast<Milliseconds>(returnSpread * draw);
     return std::min(earliestReturn + spread, patienceLeft() / 3);
 }
 
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -78,7 +78,7 @@
     m_peers.forEachAlive([&](const PeerDigest& digest) { anyCallSeen = anyCallSeen || digest.anyCallSeen; });
     PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
         [this](std::string_view id) { return contact(id); }, [this](std::string_view id) { return standsStill(id); },
-        !anyCallSeen };
+        !anyCallSeen, m_context.off };
     auto orders = planner->plan(input);
     if (input.now - m_summaryAt >= summaryPeriod) {
         m_summaryAt = input.now;
@@ -237,6 +237,8 @@
 asio::awaitable<Settled<HttpResponse>> ControllerLoop::askThroughPeers(std::string hostId, Address address)
 {
     std::vector<std::string> peers = m_peers.aliveAddresses();
+    if (m_context.off.contains(Mechanism::RelayedProbes))
+        peers.clear();
     std::ranges::shuffle(peers, m_context.random);
     std::stable_partition(peers.begin(), peers.end(),
         [&](const std::string& peer) { return !m_contacts[hostId].peersFailed.contains(peer); });
@@ -291,6 +293,8 @@
 asio::awaitable<void> ControllerLoop::send(HostOrder order, Address address, std::string service, uint64_t fencing)
 {
     m_context.metrics.count("orders_total");
+    if (m_context.off.contains(Mechanism::ConditionalJoins))
+        order.expectedOrders.reset();
     auto answer
         = co_await callHost(order.hostId, address, m_context.platform.order(order, fencing), orderTimeout, Step::Order);
     auto* response = std::get_if<HttpResponse>(&answer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -344,6 +344,8 @@
 void Gateway::cutStandingStill()
 {
     MonotonicTime now = m_context.now();
+    if (m_context.off.contains(Mechanism::StandingCut))
+        return;
     for (const std::string& id : m_context.balancer.standingStill(now)) {
         m_stoodStillAt[id] = now;
         size_t cut = 0;
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -80,7 +80,11 @@
     m_context.log.write("controller_fenced", { { "fencing", fencing } });
 }
 
-bool ControllerLease::isCandidate() const { return m_holder == m_self || m_peers.isChosen(controlDuty, candidates); }
+bool ControllerLease::isCandidate() const
+{
+    return m_holder == m_self || m_context.off.contains(Mechanism::ControlCandidates)
+        || m_peers.isChosen(controlDuty, candidates);
+}
 
 Milliseconds ControllerLease::takeOverAfter() const
 {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -235,7 +235,7 @@
     std::string self = m_context.settings.peers.toString();
     auto readers = chooseNodes(nodesOf(m_context.settings.zone), readHostsDuty, readersPerZone);
     bool isReader = std::ranges::find(readers, self) != readers.end();
-    if (isReader && !isTurnedAway)
+    if ((isReader && !isTurnedAway) || m_context.off.contains(Mechanism::StoreReaders))
         return {};
     std::erase(readers, self);
     if (!isTurnedAway)
