--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -82,6 +82,11 @@
     uint64_t listOffset
         = 0; // Of its latest entry in the list's log; of two lives at one address the later has the higher.
     HostStatus status;
+
+    bool isMemberOf(std::string_view replica, uint64_t epoch) const
+    {
+        return status.membership && status.membership->isOf(replica, epoch);
+    }
 };
 
 } // namespace Kumquatpick
