--- a/tests/fleet/rendezvous_test.cpp
+++ b/tests/fleet/rendezvous_test.cpp
@@ -11,6 +11,7 @@
     std::vector<std::string> nodes(int count)
     {
         std::vector<std::string> result;
+        result.reserve(static_cast<size_t>(count));
         for (int i = 0; i < count; ++i)
             result.push_back("10.1.0." + std::to_string(i) + ":8229");
         return result;
