--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -59,7 +59,7 @@
     json ofAnotherType(const json& value, unsigned draw)
     {
         const std::vector<json> values { json::array({ 1 }), json { { "a", 1 } }, "text", -3, 2.5, true, nullptr };
-        json other = values[draw % values.size()];
+        const json& other = values[draw % values.size()];
         bool isAlike = other.type() == value.type() || (other.is_number() && value.is_number() && other == 2.5);
         return isAlike ? json(false) : other;
     }
