--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -117,6 +117,12 @@
     target.lastArrival = now;
 }
 
+void Balancer::excusePause(MonotonicTime::duration pause, MonotonicTime now)
+{
+    for (auto& [id, target] : m_targets)
+        target.lastArrival = std::min(now, target.lastArrival + pause);
+}
+
 void Balancer::writing(std::string_view hostId, int change)
 {
     auto found = m_targets.find(hostId);
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -56,6 +56,8 @@
     // An event of a stream arrived, or an answer's head.
     void progressed(std::string_view hostId, MonotonicTime now);
     void ended(std::string_view hostId, SendEnd, MonotonicTime now);
+    // This node's own loop stood for so long: what arrived meanwhile is still to be read.
+    void excusePause(MonotonicTime::duration, MonotonicTime now);
     // Streams that are past their first event; only for these something is due soon.
     void writing(std::string_view hostId, int change);
 
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -28,6 +28,7 @@
     uint32_t rank = 0; // 0 is the head, which takes the requests of the whole replica.
     MemberState state = MemberState::Joining;
 
+    bool operator==(const Membership&) const = default;
     bool isOf(std::string_view otherReplica, uint64_t otherEpoch) const
     {
         return replica == otherReplica && epoch == otherEpoch;
@@ -43,10 +44,13 @@
     std::optional<Membership> membership;
     std::string domain; // Hosts of one domain form fast replicas.
 
+    bool operator==(const HostStatus&) const = default;
     bool isStaged(std::string_view wanted) const
     {
         return std::ranges::find(stagedModels, wanted) != stagedModels.end();
     }
+    // As of a host that has just started for the first time: member of nothing, holding nothing.
+    bool isBlank() const { return !membership && model.empty() && lastModel.empty() && stagedModels.empty(); }
     // It joins the model without a load from the weight store.
     bool holds(std::string_view wanted) const { return lastModel == wanted || isStaged(wanted); }
 };
@@ -79,10 +83,9 @@
     std::string zone;
     uint32_t capacity = 1;
     bool draining = false;
-    uint64_t listOffset
-        = 0; // Of its latest entry in the list's log; of two lives at one address the later has the higher.
     HostStatus status;
 
+    bool operator==(const Host&) const = default;
     bool isMemberOf(std::string_view replica, uint64_t epoch) const
     {
         return status.membership && status.membership->isOf(replica, epoch);
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -14,21 +14,23 @@
 
 }
 
-void HostTable::listed(Host host, MonotonicTime at)
+bool HostTable::listed(Host host, MonotonicTime at)
 {
+    m_listReadAt = std::max(m_listReadAt, at);
     if (isEarlierLife(host))
-        return;
-    ++m_version;
+        return false;
     std::string& newest = m_newestLife[std::string(hostName(host.id))];
     if (!newest.empty() && newest != host.id)
         unlisted(newest);
     newest = host.id;
     m_firstSeen.try_emplace(host.id, m_firstSeen.size());
-    if (!m_hosts.contains(host.id) && !dropEarlierLife(host))
-        return;
+    bool isKnown = m_hosts.contains(host.id);
+    if (!isKnown && !dropEarlierLife(host))
+        return false;
     Sources& sources = m_sources[host.id];
-    sources.listed = host.status;
-    sources.listedAt = at;
+    bool isNews = !isKnown || !(sources.listed == host);
+    if (isNews)
+        sources.listed = host;
     // Within one life epochs only grow, so an earlier one is from before the report whatever its time.
     bool isOutrun = sources.reported
         && (at < sources.reportedAt + listLag
@@ -38,7 +40,12 @@
     else
         sources.reported.reset();
     keepLastModel(sources, host.status);
-    m_hosts.insert_or_assign(host.id, host);
+    Host& counts = m_hosts[host.id];
+    if (!(counts == host)) {
+        counts = std::move(host);
+        ++m_version;
+    }
+    return isNews;
 }
 
 // A host names its model only while it is a member.
@@ -88,27 +95,29 @@
     uint64_t orders = status.ordersAccepted.value_or(0);
     if ((sources.reported && at <= sources.reportedAt) || (sources.mostOrders && orders < *sources.mostOrders))
         return;
-    ++m_version;
     sources.mostOrders = orders;
     if (status.domain.empty())
         status.domain = found->second.status.domain;
     keepLastModel(sources, status);
     sources.reported = status;
     sources.reportedAt = at;
+    if (found->second.status == status)
+        return;
+    ++m_version;
     found->second.status = std::move(status);
 }
 
 void HostTable::expireReports(MonotonicTime now)
 {
     for (auto& [id, sources] : m_sources) {
-        bool isDue = sources.reported && now - sources.reportedAt > reportLasts && sources.listedAt > sources.reportedAt
-            && (!sources.listed.membership || epochOf(sources.listed) >= epochOf(*sources.reported));
+        bool isDue = sources.reported && now - sources.reportedAt > reportLasts && m_listReadAt > sources.reportedAt
+            && (!sources.listed.status.membership || epochOf(sources.listed.status) >= epochOf(*sources.reported));
         if (!isDue)
             continue;
         ++m_version;
         sources.reported.reset();
-        keepLastModel(sources, sources.listed);
-        m_hosts.find(id)->second.status = sources.listed;
+        keepLastModel(sources, sources.listed.status);
+        m_hosts.find(id)->second.status = sources.listed.status;
     }
 }
 
@@ -119,6 +128,17 @@
     return hasReported ? std::optional(found->second.reportedAt) : std::nullopt;
 }
 
+bool HostTable::isAheadOfList(std::string_view id) const
+{
+    auto found = m_sources.find(id);
+    if (found == m_sources.end() || !found->second.reported)
+        return false;
+    HostStatus asListed = *found->second.reported; // Which has no count of orders, nor what the host ran before.
+    asListed.ordersAccepted.reset();
+    asListed.lastModel = found->second.listed.status.lastModel;
+    return !(asListed == found->second.listed.status);
+}
+
 std::optional<uint64_t> HostTable::ordersAccepted(std::string_view id) const
 {
     auto found = m_sources.find(id);
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -22,9 +22,16 @@
 
 // What is known of the backend servers. Their list comes late; a host's own report overtakes it until the list had
 // time to follow.
+//
+// Hosts write their entries every second or so, most of them without news: such an entry leaves the version as it is,
+// so that nothing is made anew for it. Of 760 hosts that was some 600 new versions a second, and each had every node
+// go through all hosts.
 class HostTable {
 public:
-    void listed(Host, MonotonicTime at);
+    // False if it says what the list said before.
+    bool listed(Host, MonotonicTime at);
+    // The list was read up to now; entries that did not come again are as they were.
+    void listWasRead(MonotonicTime at) { m_listReadAt = at; }
     // The list dropped the entry.
     void unlisted(std::string_view id);
     // The listed life of the host with this name; nullptr if none is.
@@ -36,6 +43,8 @@
     std::optional<MonotonicTime> reportedAt(std::string_view id) const;
     // The orders that it had accepted then, also if the list tells its state by now.
     std::optional<uint64_t> ordersAccepted(std::string_view id) const;
+    // Whether a report counts and says other than the list.
+    bool isAheadOfList(std::string_view id) const;
     // Lets the list decide again about hosts that did not report lately.
     void expireReports(MonotonicTime now);
 
@@ -47,8 +56,7 @@
 
 private:
     struct Sources {
-        HostStatus listed;
-        MonotonicTime listedAt {};
+        Host listed;
         std::optional<HostStatus> reported;
         MonotonicTime reportedAt {}; // The latest, whether it still counts or not.
         // Of all reports in this life: they only grow, so one that counts fewer was held up on its way, by a partition
@@ -65,6 +73,7 @@
     std::map<std::string, Sources, std::less<>> m_sources;
     std::map<std::string, uint64_t, std::less<>> m_firstSeen; // In which order lives appeared; small, and kept.
     std::map<std::string, std::string, std::less<>> m_newestLife; // Its id, by the host's name; kept likewise.
+    MonotonicTime m_listReadAt {};
     uint64_t m_version = 0;
 };
 
--- a/src/fleet/ordercounts.cpp
+++ b/src/fleet/ordercounts.cpp
@@ -51,11 +51,18 @@
 std::optional<uint64_t> OrderCounts::known(const HostTable& hosts, std::string_view hostId) const
 {
     const Host* host = hosts.find(hostId);
-    if (!host || !host->status.ordersAccepted)
+    if (!host)
+        return std::nullopt;
+    auto found = m_counts.find(hostId);
+    // Most likely it took no order yet. If it did, it refuses the next one, and is asked then. Asking every host of an
+    // empty fleet first took 760 calls in a moment, and the first plan waited for the last answer.
+    bool isNew = found == m_counts.end() && !hosts.reportedAt(hostId) && host->status.isBlank();
+    if (isNew)
+        return 0;
+    if (!host->status.ordersAccepted)
         return std::nullopt;
     if (isReported(hosts, hostId))
         return hosts.ordersAccepted(hostId);
-    auto found = m_counts.find(hostId);
     return found == m_counts.end() ? std::nullopt : found->second.afterOrder;
 }
 
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -3,18 +3,47 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Kumquatpick {
 
-std::vector<std::string> chooseNodes(std::span<const std::string> nodes, std::string_view duty, size_t count)
+namespace {
+
+    // Of the largest share: nodes that differ by less do a duty alike.
+    constexpr double strongShare = 0.5;
+
+    double largestShare(std::span<const DutyNode> nodes)
+    {
+        double largest = 0;
+        for (const DutyNode& node : nodes)
+            largest = std::max(largest, node.cpuShare);
+        return largest;
+    }
+
+}
+
+bool isStrong(const DutyNode& node, std::span<const DutyNode> all)
+{
+    return node.cpuShare >= strongShare * largestShare(all);
+}
+
+std::vector<std::string> chooseNodes(std::span<const DutyNode> nodes, std::string_view duty, size_t count)
 {
-    std::vector<std::string> chosen(nodes.begin(), nodes.end());
+    double largest = largestShare(nodes);
     uint64_t seed = hash64(duty);
+    std::vector<const DutyNode*> chosen;
+    chosen.reserve(nodes.size());
+    for (const DutyNode& node : nodes)
+        chosen.push_back(&node);
     count = std::min(count, chosen.size());
-    std::ranges::partial_sort(chosen, chosen.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::greater(),
-        [&](const std::string& node) { return hash64(node, seed); });
-    chosen.resize(count);
-    return chosen;
+    std::ranges::partial_sort(
+        chosen, chosen.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::greater(), [&](const DutyNode* node) {
+            return std::pair(node->cpuShare >= strongShare * largest, hash64(node->address, seed));
+        });
+    std::vector<std::string> result;
+    for (size_t i = 0; i < count; ++i)
+        result.push_back(chosen[i]->address);
+    return result;
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -19,16 +19,21 @@
     // Loads are short then and take some three seconds in all. Begun after 3.5 s, when a third of 162 hosts were yet to
     // appear, pairs took most of their domains: 4 replicas of eight hosts formed of the 10 that were wanted.
     constexpr Milliseconds longestSettling { 7000 };
+    // Of the loads that the weight store runs at its full rate. More would share that rate and end no sooner, and the
+    // orders of a whole fleet in one moment kept a node's event loop for a second; with fewer the store would wait
+    // while the end of a load is on its way here.
+    constexpr uint32_t firstPlanLoads = 2;
 
 }
 
-ModelNeeds ReplicaPlanner::needs(const PlannerInput& input) const
+ModelNeeds ReplicaPlanner::needs(const PlannerInput& input, const View& view) const
 {
-    auto have = replicasByModel(input);
     ModelNeeds result;
     for (const ModelSpec& model : input.service.models) {
         auto wanted = input.wanted.find(model.name);
-        result[model.name] = wanted == input.wanted.end() ? 0 : wanted->second / (1 + have[model.name]);
+        auto have = view.have.find(model.name);
+        result[model.name]
+            = wanted == input.wanted.end() ? 0 : wanted->second / (1 + (have == view.have.end() ? 0 : have->second));
     }
     return result;
 }
@@ -49,15 +54,14 @@
 
 // Once traffic runs, only hosts that hold the model count: hosts are lost faster than the weight store fills new ones,
 // and a replica that waits for one load of sixteen seconds would keep three hosts from serving that long.
-std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(const PlannerInput& input, const ModelSpec& model,
-    const std::vector<const Host*>& freeHosts, const ModelNeeds& needs) const
+std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::candidateIn(
+    const PlannerInput& input, const ModelSpec& model, const std::vector<const Host*>& freeHosts) const
 {
-    double need = needs.at(model.name);
     Candidate candidate;
     candidate.model = &model;
     std::ranges::copy_if(freeHosts, std::back_inserter(candidate.members),
         [&](const Host* host) { return input.loadsAreFree || host->status.holds(model.name); });
-    if (candidate.members.size() < model.hostsPerReplica || need <= 0)
+    if (candidate.members.size() < model.hostsPerReplica)
         return std::nullopt;
     auto cost = [&](const Host* host) {
         if (host->status.lastModel == model.name)
@@ -66,28 +70,39 @@
     };
     std::ranges::stable_sort(candidate.members, {}, cost);
     candidate.members.resize(model.hostsPerReplica);
-    double costs = 0;
     for (const Host* host : candidate.members)
-        costs += input.loadsAreFree ? 0 : cost(host);
-    candidate.value = need / (1 + costs);
+        candidate.cost += input.loadsAreFree ? 0 : cost(host);
     return candidate;
 }
 
-std::optional<ReplicaPlanner::Candidate> ReplicaPlanner::bestCandidate(
-    const PlannerInput& input, const ModelNeeds& needs) const
+std::vector<ReplicaPlanner::Candidate> ReplicaPlanner::candidatesIn(
+    const PlannerInput& input, const std::vector<const Host*>& freeHosts) const
 {
-    std::optional<Candidate> best;
-    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
+    std::vector<Candidate> result;
+    for (const ModelSpec& model : input.service.models) {
+        if (auto candidate = candidateIn(input, model, freeHosts))
+            result.push_back(std::move(*candidate));
+    }
+    return result;
+}
+
+const ReplicaPlanner::Candidate* ReplicaPlanner::bestCandidate(const PlannerInput& input, const View& view) const
+{
+    ModelNeeds needed = needs(input, view);
+    const Candidate* best = nullptr;
+    double bestValue = 0;
+    for (const auto& [domain, candidates] : view.candidates) {
         const ModelSpec* home = input.service.model(m_homes.homeOf(domain));
         // Only until that model has what is wanted: what is left of its domains may serve others.
         bool homeFirst = input.loadsAreFree && !input.off.contains(Mechanism::Homes) && home
-            && hosts.size() >= home->hostsPerReplica && needs.at(home->name) > 1;
-        for (const ModelSpec& model : input.service.models) {
-            auto candidate = candidateIn(input, model, hosts, needs);
-            if (!candidate || isKeptFor(domain, model.name) || (homeFirst && &model != home))
+            && view.freeHosts.at(domain).size() >= home->hostsPerReplica && needed.at(home->name) > 1;
+        for (const Candidate& candidate : candidates) {
+            const ModelSpec& model = *candidate.model;
+            double value = needed.at(model.name) / (1 + candidate.cost);
+            if (value <= bestValue || isKeptFor(domain, model.name) || (homeFirst && &model != home))
                 continue;
-            if (!best || candidate->value > best->value)
-                best = std::move(candidate);
+            best = &candidate;
+            bestValue = value;
         }
     }
     return best;
@@ -110,16 +125,13 @@
     return m_shift && m_shift->domain == domain && m_shift->model != otherModel;
 }
 
-std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(
-    const PlannerInput& input, const std::vector<ReplicaView>& replicas) const
+std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(const PlannerInput& input, const View& view) const
 {
     std::map<std::string, ShiftDomain> domains;
-    for (auto& [domain, hosts] : freeHostsByDomain(input))
+    for (const auto& [domain, hosts] : view.freeHosts)
         domains[domain].freeHosts = hosts;
-    for (const ReplicaView& replica : replicas) {
-        bool serves = replica.service == input.service.name && replica.head && !isDissolving(replica)
-            && replica.head->status.membership->state == MemberState::Open;
-        if (serves && !isForming(replica))
+    for (const ReplicaView& replica : view.replicas) {
+        if (isServing(input, replica))
             domains[replica.head->status.domain].replicas.push_back(&replica);
     }
     std::vector<ShiftDomain> result;
@@ -131,15 +143,14 @@
 }
 
 // One shift at a time: what it frees shows in the needs before the next one.
-void ReplicaPlanner::shiftReplicas(const PlannerInput& input)
+void ReplicaPlanner::shiftReplicas(const PlannerInput& input, const View& view)
 {
     if (m_shift && input.now - m_shift->begun > longestShift)
         m_shift.reset();
     if (m_shift || input.loadsAreFree || input.off.contains(Mechanism::Shift))
         return;
-    std::vector<ReplicaView> replicas = input.hosts.replicas();
-    auto domains = shiftDomains(input, replicas);
-    auto shift = chooseShift({ input.service, input.wanted, replicasByModel(input), domains,
+    auto domains = shiftDomains(input, view);
+    auto shift = chooseShift({ input.service, input.wanted, view.have, domains,
         [&](const Host& host, std::string_view model) { return host.status.holds(model); } });
     if (!shift)
         return;
@@ -148,41 +159,64 @@
     m_shift = Shift { std::move(shift->domain), std::move(shift->model), input.now };
 }
 
-void ReplicaPlanner::formReplicas(const PlannerInput& input, std::vector<HostOrder>& orders)
+void ReplicaPlanner::formReplicas(const PlannerInput& input, View& view, std::vector<HostOrder>& orders)
 {
     // All idle hosts are asked, also those that are not chosen now: the next choice then finds what it needs.
     bool allReported = true;
-    for (const auto& [domain, hosts] : freeHostsByDomain(input))
+    for (const auto& [domain, hosts] : view.freeHosts)
         allReported = awaitReports(input, hosts) && allReported;
     if (!hasSettled(input) || (input.loadsAreFree && !allReported))
         return;
-    m_homes.assign(input.hosts, input.service, input.wanted);
-    shiftReplicas(input);
-    while (auto candidate = bestCandidate(input, needs(input))) {
-        const ModelSpec& model = *candidate->model;
+    if (input.loadsAreFree)
+        m_homes.assign(input.hosts, input.service, input.wanted);
+    shiftReplicas(input, view);
+    for (const auto& [domain, hosts] : view.freeHosts)
+        view.candidates[domain] = candidatesIn(input, hosts);
+    uint32_t loading = loadsOfFormations(input);
+    while (const Candidate* candidate = bestCandidate(input, view)) {
+        if (input.loadsAreFree && loading >= firstPlanLoads * input.service.timing.concurrentLoads)
+            return;
         // A choice that waits for a report of one of its hosts is better than the next best one.
         if (!awaitReports(input, candidate->members))
             return;
-        Formation formation;
-        formation.epoch = m_nextEpoch++;
-        formation.replica = fmt::format("replica-{}", formation.epoch);
-        formation.model = model.name;
-        formation.begun = input.now;
-        for (const Host* host : candidate->members) {
-            formation.members.push_back(host->id);
-            formation.joins[host->id].expectedOrders = *m_orderCounts.known(input.hosts, host->id);
-            if (!host->status.holds(model.name))
-                formation.coldMembers.push_back(host->id);
-        }
-        if (m_shift && m_shift->domain == candidate->members.front()->status.domain)
-            m_shift.reset();
-        m_formations.push_back(std::move(formation));
-        orderJoins(input, m_formations.back(), orders);
-        for (const std::string& id : m_formations.back().members)
-            m_awaited.insert(id);
+        formReplica(input, view, *candidate, orders);
+        loading += static_cast<uint32_t>(m_formations.back().coldMembers.size());
+    }
+    m_staging.plan(input, needs(input, view), view.freeHosts, loading, orders);
+    m_awaitedLater.insert(m_staging.awaited().begin(), m_staging.awaited().end());
+}
+
+// The candidate is the view's, which changes with it.
+void ReplicaPlanner::formReplica(
+    const PlannerInput& input, View& view, const Candidate& candidate, std::vector<HostOrder>& orders)
+{
+    Formation formation;
+    formation.epoch = m_nextEpoch++;
+    formation.replica = fmt::format("replica-{}", formation.epoch);
+    formation.model = candidate.model->name;
+    formation.begun = input.now;
+    std::string domain = candidate.members.front()->status.domain;
+    for (const Host* host : candidate.members) {
+        formation.members.push_back(host->id);
+        formation.joins[host->id].expectedOrders = *m_orderCounts.known(input.hosts, host->id);
+        if (!host->status.holds(formation.model))
+            formation.coldMembers.push_back(host->id);
+    }
+    if (m_shift && m_shift->domain == domain)
+        m_shift.reset();
+    ++view.have[formation.model];
+    m_formations.push_back(std::move(formation));
+    orderJoins(input, m_formations.back(), orders);
+    const Formation& begun = m_formations.back();
+    m_forming.insert(begun.members.begin(), begun.members.end());
+    m_formingEpochs.insert(begun.epoch);
+    for (const std::string& id : begun.members) {
+        bool isLoading = std::ranges::find(begun.coldMembers, id) != begun.coldMembers.end();
+        (isLoading ? m_awaitedLater : m_awaited).insert(id);
     }
-    m_staging.plan(input, needs(input), freeHostsByDomain(input), loadsOfFormations(input), orders);
-    m_awaited.insert(m_staging.awaited().begin(), m_staging.awaited().end());
+    auto& freeHosts = view.freeHosts.at(domain);
+    std::erase_if(freeHosts, [this](const Host* host) { return m_forming.contains(host->id); });
+    view.candidates[domain] = candidatesIn(input, freeHosts);
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -23,6 +23,10 @@
     constexpr int longestLoads = 4;
     constexpr Milliseconds formationMargin { 10'000 };
 
+    // Joins of an earlier controller that are on their way show within this time: an order's timeout, the list's lag
+    // and two reads of it.
+    constexpr Milliseconds earlierJoinsShow { 2200 };
+
     // Replicas that give way finish what they have for this long; what is longer goes on elsewhere.
     constexpr Milliseconds retireGrace { 600 };
 
@@ -56,7 +60,8 @@
 }
 
 ReplicaPlanner::ReplicaPlanner(uint64_t fencing)
-    : m_nextEpoch((fencing + 1) * epochsPerLease)
+    : m_firstEpoch((fencing + 1) * epochsPerLease)
+    , m_nextEpoch(m_firstEpoch)
 {
 }
 
@@ -64,21 +69,26 @@
 {
     std::vector<HostOrder> orders;
     m_awaited.clear();
+    m_awaitedLater.clear();
     m_orderCounts.forgetUnlisted(input.hosts);
     for (Formation& formation : m_formations)
         advanceFormation(input, formation, orders);
     std::erase_if(m_formations, [](const Formation& formation) { return formation.failed; });
-
-    std::vector<ReplicaView> replicas = input.hosts.replicas();
-    std::erase_if(m_watches, [&](const auto& entry) {
-        return std::ranges::none_of(
-            replicas, [&](const ReplicaView& view) { return ReplicaKey(view.name, view.epoch) == entry.first; });
-    });
-    for (const ReplicaView& replica : replicas) {
+    noteFormations();
+
+    View view;
+    view.replicas = input.hosts.replicas();
+    std::set<ReplicaKey> known;
+    for (const ReplicaView& replica : view.replicas)
+        known.emplace(replica.name, replica.epoch);
+    std::erase_if(m_watches, [&](const auto& entry) { return !known.contains(entry.first); });
+    for (const ReplicaView& replica : view.replicas) {
         if (replica.service == input.service.name)
             superviseReplica(input, replica, orders);
     }
-    formReplicas(input, orders);
+    view.freeHosts = freeHostsByDomain(input);
+    view.have = replicasByModel(input, view.replicas);
+    formReplicas(input, view, orders);
     for (const HostOrder& order : orders)
         m_orderCounts.sending(order, input.hosts);
     return orders;
@@ -100,7 +110,8 @@
     }
     bool allReady = true;
     for (const std::string& id : formation.members) {
-        m_awaited.insert(id);
+        bool isLoading = std::ranges::find(formation.coldMembers, id) != formation.coldMembers.end();
+        (isLoading ? m_awaitedLater : m_awaited).insert(id);
         const Host& host = *input.hosts.find(id);
         allReady = allReady && host.isMemberOf(formation.replica, formation.epoch)
             && host.status.membership->state != MemberState::Joining;
@@ -144,12 +155,63 @@
     }
 }
 
+// An earlier controller's replica whose hosts have all joined: from here on it is a formation of this one.
+bool ReplicaPlanner::adopt(const PlannerInput& input, const ReplicaView& replica)
+{
+    const ModelSpec* model = input.service.model(replica.model);
+    bool isOwn = replica.epoch >= m_firstEpoch;
+    if (isOwn || !model || replica.members.size() != model->hostsPerReplica)
+        return false;
+    Formation formation;
+    formation.replica = replica.name;
+    formation.epoch = replica.epoch;
+    formation.model = replica.model;
+    formation.begun = input.now;
+    formation.members.resize(replica.members.size());
+    for (const Host* host : replica.members) {
+        uint32_t rank = host->status.membership->rank;
+        bool isInPlace = rank < formation.members.size() && formation.members[rank].empty();
+        bool mayForm = host->status.membership->state == MemberState::Joining
+            || host->status.membership->state == MemberState::Ready;
+        if (!isInPlace || !mayForm || !input.isUsable(host->id))
+            return false;
+        formation.members[rank] = host->id;
+        formation.joins[host->id].sent = input.now; // By the earlier controller; so that it leaves if this fails.
+        // Its last model is this one already, whether it has it or not.
+        if (host->status.membership->state == MemberState::Joining && !host->status.isStaged(formation.model))
+            formation.coldMembers.push_back(host->id);
+    }
+    m_formations.push_back(std::move(formation));
+    noteFormations();
+    return true;
+}
+
+// Some of its hosts may have yet to be heard of. Members alone that are ready tell of a head that left.
+bool ReplicaPlanner::mayStillForm(const PlannerInput& input, const ReplicaView& replica, const Watch& watch) const
+{
+    bool isEarlier = replica.epoch < m_firstEpoch && input.now - watch.since < earlierJoinsShow;
+    bool isHeadWaiting = replica.head && replica.head->status.membership->state == MemberState::Ready;
+    bool isAnyJoining = std::ranges::any_of(
+        replica.members, [](const Host* host) { return host->status.membership->state == MemberState::Joining; });
+    return isEarlier && !watch.isDissolving && (isHeadWaiting || isAnyJoining);
+}
+
 void ReplicaPlanner::superviseReplica(
     const PlannerInput& input, const ReplicaView& replica, std::vector<HostOrder>& orders)
 {
     if (isForming(replica))
         return;
-    Watch& watch = m_watches[{ replica.name, replica.epoch }];
+    auto [entry, isNew] = m_watches.try_emplace({ replica.name, replica.epoch });
+    Watch& watch = entry->second;
+    if (isNew)
+        watch.since = input.now;
+    if (!watch.isDissolving && adopt(input, replica))
+        return;
+    if (mayStillForm(input, replica, watch)) {
+        for (const Host* member : replica.members)
+            m_awaitedLater.insert(member->id);
+        return;
+    }
     if (replica.head) {
         watch.headId = replica.head->id;
         watch.headIsLeaving = watch.headIsLeaving || replica.head->draining;
@@ -275,10 +337,17 @@
 
 bool ReplicaPlanner::isFree(const PlannerInput& input, const Host& host) const
 {
-    bool isTaken = std::ranges::any_of(m_formations, [&](const Formation& formation) {
-        return std::ranges::find(formation.members, host.id) != formation.members.end();
-    });
-    return !isTaken && isIdle(input, host);
+    return !m_forming.contains(host.id) && isIdle(input, host);
+}
+
+void ReplicaPlanner::noteFormations()
+{
+    m_forming.clear();
+    m_formingEpochs.clear();
+    for (const Formation& formation : m_formations) {
+        m_forming.insert(formation.members.begin(), formation.members.end());
+        m_formingEpochs.insert(formation.epoch);
+    }
 }
 
 // Member of no replica that may still serve, as far as is known.
@@ -302,12 +371,8 @@
     return result;
 }
 
-bool ReplicaPlanner::isForming(const ReplicaView& replica) const
-{
-    return std::ranges::any_of(m_formations, [&](const Formation& formation) {
-        return formation.replica == replica.name && formation.epoch == replica.epoch;
-    });
-}
+// Epochs of one controller are its own, so they tell its replicas from others.
+bool ReplicaPlanner::isForming(const ReplicaView& replica) const { return m_formingEpochs.contains(replica.epoch); }
 
 bool ReplicaPlanner::isDissolving(const ReplicaView& replica) const
 {
@@ -315,15 +380,22 @@
     return watch != m_watches.end() && watch->second.isDissolving;
 }
 
-std::map<std::string, uint32_t> ReplicaPlanner::replicasByModel(const PlannerInput& input) const
+// Open, and not about to be taken apart.
+bool ReplicaPlanner::isServing(const PlannerInput& input, const ReplicaView& replica) const
+{
+    bool isOpen = replica.service == input.service.name && replica.head
+        && replica.head->status.membership->state == MemberState::Open;
+    return isOpen && !isForming(replica) && !isDissolving(replica);
+}
+
+std::map<std::string, uint32_t> ReplicaPlanner::replicasByModel(
+    const PlannerInput& input, const std::vector<ReplicaView>& replicas) const
 {
     std::map<std::string, uint32_t> result;
     for (const Formation& formation : m_formations)
         ++result[formation.model];
-    for (const ReplicaView& replica : input.hosts.replicas()) {
-        bool serves
-            = replica.head && replica.head->status.membership->state == MemberState::Open && !isDissolving(replica);
-        if (serves && !isForming(replica))
+    for (const ReplicaView& replica : replicas) {
+        if (isServing(input, replica))
             ++result[replica.model];
     }
     return result;
@@ -334,7 +406,7 @@
     Summary summary;
     for (const Formation& formation : m_formations)
         ++summary.forming[formation.model];
-    for (const auto& [model, count] : replicasByModel(input))
+    for (const auto& [model, count] : replicasByModel(input, input.hosts.replicas()))
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -28,6 +28,10 @@
 // notice that its members are gone: the head is told to leave first, and the others are free by its word or by the end
 // of its life. Where no node reaches the head, dead or cut off, each of its members is told to leave instead.
 //
+// A replica that an earlier controller was forming is finished, once all its hosts say that they are members of it:
+// joins go on by themselves, so only the open is missing. Taken apart instead, a change of control during the first
+// plan of 760 hosts cost all of its loads again.
+//
 // Each join names the orders that the host has accepted (ordercounts.h): whatever reached it since, late or from
 // another controller, makes it refuse. That a head left its replica is believed by its own report alone.
 class ReplicaPlanner {
@@ -52,7 +56,9 @@
     Summary summary(const PlannerInput&) const;
 
     // Hosts whose own reports the next decisions wait for.
-    std::set<std::string, std::less<>> awaited() const { return m_awaited; }
+    const std::set<std::string, std::less<>>& awaited() const { return m_awaited; }
+    // Hosts that load for seconds, and idle ones: their reports are of use, but nobody is served later without them.
+    const std::set<std::string, std::less<>>& awaitedLater() const { return m_awaitedLater; }
 
 private:
     struct MemberJoin {
@@ -73,6 +79,7 @@
     };
     // A replica as long as any host says that it is a member.
     struct Watch {
+        MonotonicTime since {};
         bool isDissolving = false;
         std::optional<MonotonicTime> retiringSince; // Its hosts are to serve another model.
         std::string headId;
@@ -98,12 +105,23 @@
     struct Candidate {
         const ModelSpec* model = nullptr;
         std::vector<const Host*> members;
-        double value = 0;
+        double cost = 0; // What it lacks to serve at once.
+    };
+    // What a plan sees, made once for each: going through all hosts for each replica that is formed took the first
+    // plan of 760 hosts over half a second of a core.
+    struct View {
+        std::vector<ReplicaView> replicas;
+        HostsByDomain freeHosts;
+        std::map<std::string, uint32_t> have; // Replicas that serve or form, by model.
+        // The best choices of each domain's free hosts, one a model that has any; made again when they change.
+        std::map<std::string, std::vector<Candidate>> candidates;
     };
 
     void advanceFormation(const PlannerInput&, Formation&, std::vector<HostOrder>&);
     void orderJoins(const PlannerInput&, Formation&, std::vector<HostOrder>&);
     void abandon(const Formation&, std::vector<HostOrder>&);
+    bool adopt(const PlannerInput&, const ReplicaView&);
+    bool mayStillForm(const PlannerInput&, const ReplicaView&, const Watch&) const;
     void superviseReplica(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
     void dissolve(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
     HeadFate followHead(const PlannerInput&, const ReplicaView&, Watch&) const;
@@ -111,14 +129,16 @@
     void orderLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
     void orderMembersLeave(const PlannerInput&, const ReplicaView&, Watch&, std::vector<HostOrder>&);
     bool takeOrderTurn(std::optional<MonotonicTime>& sent, MonotonicTime now) const;
-    void formReplicas(const PlannerInput&, std::vector<HostOrder>&);
-    ModelNeeds needs(const PlannerInput&) const;
-    std::optional<Candidate> bestCandidate(const PlannerInput&, const ModelNeeds&) const;
+    void formReplicas(const PlannerInput&, View&, std::vector<HostOrder>&);
+    void formReplica(const PlannerInput&, View&, const Candidate&, std::vector<HostOrder>&);
+    ModelNeeds needs(const PlannerInput&, const View&) const;
+    const Candidate* bestCandidate(const PlannerInput&, const View&) const;
+    std::vector<Candidate> candidatesIn(const PlannerInput&, const std::vector<const Host*>& freeHosts) const;
     std::optional<Candidate> candidateIn(
-        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts, const ModelNeeds&) const;
+        const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts) const;
     uint32_t loadsOfFormations(const PlannerInput&) const;
-    void shiftReplicas(const PlannerInput&);
-    std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const std::vector<ReplicaView>&) const;
+    void shiftReplicas(const PlannerInput&, const View&);
+    std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const View&) const;
     bool isKeptFor(std::string_view domain, std::string_view otherModel) const;
     bool hasSettled(const PlannerInput&);
     HostsByDomain freeHostsByDomain(const PlannerInput&) const;
@@ -128,16 +148,22 @@
     void joinRefused(const HostOrder&);
     bool isForming(const ReplicaView&) const;
     bool isDissolving(const ReplicaView&) const;
-    std::map<std::string, uint32_t> replicasByModel(const PlannerInput&) const;
+    bool isServing(const PlannerInput&, const ReplicaView&) const;
+    void noteFormations();
+    std::map<std::string, uint32_t> replicasByModel(const PlannerInput&, const std::vector<ReplicaView>&) const;
 
+    uint64_t m_firstEpoch; // Earlier ones are of earlier controllers.
     uint64_t m_nextEpoch;
     std::vector<Formation> m_formations;
+    std::set<std::string, std::less<>> m_forming; // Hosts of those, and their epochs.
+    std::set<uint64_t> m_formingEpochs;
     std::map<ReplicaKey, Watch> m_watches;
     ModelStaging m_staging;
     OrderCounts m_orderCounts;
     DomainHomes m_homes;
     std::optional<Shift> m_shift;
     std::set<std::string, std::less<>> m_awaited;
+    std::set<std::string, std::less<>> m_awaitedLater;
     std::optional<MonotonicTime> m_firstSeen; // Of any host; and since when their number stays the same.
     MonotonicTime m_countSince {};
     size_t m_hostCount = 0;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/balancer.h"
 #include "fleet/hosttable.h"
+#include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
 #include "fleet/patienceprofile.h"
 #include "fleet/retryallowance.h"
@@ -11,6 +12,7 @@
 #include "gateway/activecall.h"
 #include "gateway/connectionpool.h"
 #include "gateway/eventlog.h"
+#include "gateway/looptime.h"
 #include "gateway/platform.h"
 #include "gateway/settings.h"
 
@@ -55,6 +57,8 @@
     Balancer balancer;
     RetryAllowance retries;
     Metrics metrics;
+    LoopPauses pauses;
+    LoopTime loopTime;
     EventLog log;
     Random random;
     uint64_t incarnation; // Of this life of the process.
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -18,7 +18,18 @@
     constexpr Milliseconds orderTimeout { 600 };
     constexpr Milliseconds askPeriod { 180 };
     constexpr Milliseconds askSilentPeriod { 400 };
+    constexpr Milliseconds askLaterPeriod { 600 };
+    // Status calls under way. Those to silent hosts end by their time-out, so the first losses of a partition fill this
+    // and the rest wait their turn; a node that asked 500 hosts at once read none of the answers in time.
+    constexpr size_t mostStatusCalls = 48;
+    // Hosts asked through peers at the same time, each of them through several.
+    constexpr size_t mostRelayedCalls = 16;
+    // Reports told in one digest, the newest: a replica or two of what a plan changes. A whole first plan in each
+    // digest was 190 KB, thirty times a second.
+    constexpr size_t mostStatusesTold = 48;
     constexpr int failuresOfSilence = 2;
+    // Of a status call that got no answer: if this node's own loop stood for longer, it may be the one that was late.
+    constexpr Milliseconds ownPauseExcuses { 40 };
     // Enough to tell a dead host from one that a partition hides; in a small fleet these are all.
     constexpr size_t peersAsked = 8;
     constexpr Milliseconds peersTimeout { 300 };
@@ -56,28 +67,38 @@
         m_contacts.clear();
         m_fencing = fencing;
     }
-    for (const auto& [id, host] : m_context.hosts.hosts())
-        m_addresses.insert_or_assign(id, host.address);
-    std::set<std::string, std::less<>> awaited;
+    if (m_addressesOf != m_context.hosts.version()) {
+        for (const auto& [id, host] : m_context.hosts.hosts())
+            m_addresses.insert_or_assign(id, host.address);
+        m_addressesOf = m_context.hosts.version();
+    }
+    HostIds awaited;
+    HostIds awaitedLater;
     for (const ServiceSpec& service : m_context.routes->config().services) {
         if (!service.servesModels())
             continue;
         planService(service, fencing);
-        awaited.merge(m_planners.at(service.name)->awaited());
+        const ReplicaPlanner& planner = *m_planners.at(service.name);
+        awaited.insert(planner.awaited().begin(), planner.awaited().end());
+        awaitedLater.insert(planner.awaitedLater().begin(), planner.awaitedLater().end());
     }
-    askAwaited(awaited);
+    askHosts(awaited, awaitedLater);
 }
 
 void ControllerLoop::planService(const ServiceSpec& service, uint64_t fencing)
 {
+    LoopTime::Section section(m_context.loopTime, LoopPart::Planning);
     auto& planner = m_planners[service.name];
     if (!planner)
         planner = std::make_unique<ReplicaPlanner>(fencing);
     auto wanted = wantedReplicas(service);
     bool anyCallSeen = m_context.anyCallSeen;
     m_peers.forEachAlive([&](const PeerDigest& digest) { anyCallSeen = anyCallSeen || digest.anyCallSeen; });
+    HostIds still = standingStill();
     PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
-        [this](std::string_view id) { return contact(id); }, [this](std::string_view id) { return standsStill(id); },
+        [this](std::string_view id) { return contact(id); },
+        [this, &still](
+            std::string_view id) { return still.contains(id) || m_context.balancer.isSuspected(id, m_context.now()); },
         !anyCallSeen, m_context.off };
     auto orders = planner->plan(input);
     if (input.now - m_summaryAt >= summaryPeriod) {
@@ -139,19 +160,20 @@
     return wanted;
 }
 
-bool ControllerLoop::standsStill(std::string_view hostId) const
+// Heads that other nodes say so of.
+ControllerLoop::HostIds ControllerLoop::standingStill() const
 {
-    bool result = m_context.balancer.isSuspected(hostId, m_context.now());
-    m_peers.forEachAlive([&](const PeerDigest& digest) {
-        result = result || std::ranges::find(digest.standingStill, hostId) != digest.standingStill.end();
-    });
+    HostIds result;
+    m_peers.forEachAlive(
+        [&](const PeerDigest& digest) { result.insert(digest.standingStill.begin(), digest.standingStill.end()); });
     return result;
 }
 
 HostContact ControllerLoop::contact(std::string_view hostId) const
 {
-    const Host* listed = m_context.hosts.findByName(hostName(hostId));
-    bool hasStartedAgain = listed && listed->id != hostId;
+    // A life that is listed is the newest of its name.
+    const Host* newest = m_context.hosts.find(hostId) ? nullptr : m_context.hosts.findByName(hostName(hostId));
+    bool hasStartedAgain = newest != nullptr;
     auto found = m_contacts.find(hostId);
     if (found == m_contacts.end())
         return hasStartedAgain ? HostContact::Ended : HostContact::Unknown;
@@ -166,49 +188,83 @@
     return isFresh && contact.failures == 0 ? HostContact::Answers : HostContact::Unknown;
 }
 
-void ControllerLoop::askAwaited(const std::set<std::string, std::less<>>& awaited)
+// What decides about replicas soonest goes first, as only so many calls may be under way.
+void ControllerLoop::askHosts(const HostIds& awaited, const HostIds& awaitedLater)
 {
+    LoopTime::Section section(m_context.loopTime, LoopPart::Status);
     MonotonicTime now = m_context.now();
     std::erase_if(m_contacts, [&](const auto& entry) {
         return !entry.second.isBusy && !m_context.hosts.find(entry.first) && now - entry.second.askedAt > contactKept;
     });
-    auto ask = [&](const std::string& id, Milliseconds period) {
-        auto address = m_addresses.find(id);
-        Contact& contact = m_contacts[id];
-        if (address == m_addresses.end() || contact.isBusy || now - contact.askedAt < period)
+    std::vector<std::string> silent;
+    for (const auto& [id, contact] : m_contacts) {
+        if (contact.failures > 0 && !awaited.contains(id) && m_context.hosts.find(id))
+            silent.push_back(id);
+    }
+    askInTurn({ awaited.begin(), awaited.end() }, askPeriod);
+    askInTurn(std::move(silent), askSilentPeriod);
+    askInTurn({ awaitedLater.begin(), awaitedLater.end() }, askLaterPeriod);
+    m_context.metrics.set("host_status_calls_in_flight", static_cast<double>(m_statusCalls));
+}
+
+// Those that were asked longest ago first.
+void ControllerLoop::askInTurn(std::vector<std::string> hostIds, Milliseconds period)
+{
+    MonotonicTime now = m_context.now();
+    std::erase_if(hostIds, [&](const std::string& id) {
+        const Contact& contact = m_contacts[id];
+        return contact.isBusy || now - contact.askedAt < period || !m_addresses.contains(id);
+    });
+    std::ranges::stable_sort(hostIds, {}, [this](const std::string& id) { return m_contacts[id].askedAt; });
+    for (std::string& id : hostIds) {
+        if (m_statusCalls >= mostStatusCalls)
             return;
+        Contact& contact = m_contacts[id];
         contact.isBusy = true;
         contact.askedAt = now;
-        asio::co_spawn(m_context.io, askStatus(id, address->second), asio::detached);
-    };
-    for (const std::string& id : awaited)
-        ask(id, askPeriod);
-    for (const auto& [id, host] : m_context.hosts.hosts()) {
-        auto contact = m_contacts.find(id);
-        if (contact != m_contacts.end() && contact->second.failures > 0)
-            ask(id, askSilentPeriod);
+        ++m_statusCalls;
+        Address address = m_addresses.find(id)->second;
+        asio::co_spawn(m_context.io, askStatus(std::move(id), std::move(address)), asio::detached);
     }
 }
 
 asio::awaitable<void> ControllerLoop::askStatus(std::string hostId, Address address)
 {
     m_context.metrics.count("host_status_calls_total");
-    MonotonicTime asOf = m_context.now() - reportLag(hostId);
+    MonotonicTime askedAt = m_context.now();
+    MonotonicTime asOf = askedAt - reportLag(hostId);
     auto answer
         = co_await m_context.pool.exchange(address, m_context.platform.askStatus(hostId), statusTimeout, Step::Probe);
-    bool isSilent = std::holds_alternative<Error>(answer) && std::get<Error>(answer).code != ErrorCode::Refused;
-    m_contacts[hostId].isRefused = !isSilent && std::holds_alternative<Error>(answer);
+    auto* error = std::get_if<Error>(&answer);
+    bool isSilent = error && error->code != ErrorCode::Refused;
+    bool wasOwnPause = isSilent && m_context.pauses.since(askedAt, m_context.now()) > ownPauseExcuses;
+    m_contacts[hostId].isRefused = error && !isSilent;
     if (!isSilent)
         m_contacts[hostId].via.clear();
-    else
+    else if (!wasOwnPause && m_relayedCalls < mostRelayedCalls) {
+        ++m_relayedCalls;
         answer = co_await askThroughPeers(hostId, address);
+        --m_relayedCalls;
+    }
+    --m_statusCalls;
+    m_contacts[hostId].isBusy = false;
+    if (wasOwnPause) {
+        m_context.metrics.count("host_status_calls_unread_total");
+        co_return;
+    }
+    LoopTime::Section section(m_context.loopTime, LoopPart::Status);
+    takeStatusAnswer(hostId, answer, asOf);
+}
+
+void ControllerLoop::takeStatusAnswer(
+    const std::string& hostId, const Settled<HttpResponse>& answer, MonotonicTime asOf)
+{
     auto* response = std::get_if<HttpResponse>(&answer);
     auto status
         = response ? m_context.platform.status(hostId, *response) : Settled<HostStatus>(std::get<Error>(answer));
-    Contact& contact = m_contacts[hostId];
-    contact.isBusy = false;
     if (auto* error = std::get_if<Error>(&status))
-        co_return noteFailure(hostId, *error);
+        return noteFailure(hostId, *error);
+    Contact& contact = m_contacts[hostId];
     contact.failures = 0;
     contact.peersFailed.clear();
     contact.answeredAt = m_context.now();
@@ -316,15 +372,19 @@
         planner->second->orderEnded(order, result, m_context.now());
 }
 
+// The newest that the list does not tell yet.
 std::vector<ReportedStatus> ControllerLoop::recentStatuses() const
 {
     std::vector<ReportedStatus> result;
     MonotonicTime now = m_context.now();
     for (const auto& [id, asOf] : m_statusOf) {
-        const Host* host = m_context.hosts.find(id);
-        bool isOwnReport = host && host->status.ordersAccepted; // Not what the list says by now.
-        if (isOwnReport && now - asOf < tellStatusFor)
-            result.push_back({ id, host->status, std::chrono::ceil<Milliseconds>(now - asOf) });
+        if (now - asOf < tellStatusFor && m_context.hosts.isAheadOfList(id))
+            result.push_back({ id, m_context.hosts.find(id)->status, std::chrono::ceil<Milliseconds>(now - asOf) });
+    }
+    if (result.size() > mostStatusesTold) {
+        std::ranges::nth_element(
+            result, result.begin() + mostStatusesTold, {}, [](const ReportedStatus& reported) { return reported.age; });
+        result.resize(mostStatusesTold);
     }
     return result;
 }
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -54,10 +54,13 @@
     void updateDemand();
     void updateDemand(const std::string& service, const std::string& model);
     std::map<std::string, double, std::less<>> wantedReplicas(const ServiceSpec&) const;
-    bool standsStill(std::string_view hostId) const;
     HostContact contact(std::string_view hostId) const;
-    void askAwaited(const std::set<std::string, std::less<>>& awaited);
+    using HostIds = std::set<std::string, std::less<>>;
+    void askHosts(const HostIds& awaited, const HostIds& awaitedLater);
+    void askInTurn(std::vector<std::string> hostIds, Milliseconds period);
     asio::awaitable<void> askStatus(std::string hostId, Address);
+    void takeStatusAnswer(const std::string& hostId, const Settled<HttpResponse>&, MonotonicTime asOf);
+    HostIds standingStill() const;
     asio::awaitable<Settled<HttpResponse>> askThroughPeers(std::string hostId, Address);
     asio::awaitable<void> askPeer(std::string peer, std::string hostId, Address, std::shared_ptr<AskedPeers>);
     asio::awaitable<Settled<HttpResponse>> callHost(std::string hostId, Address, HttpRequest, Milliseconds, Step);
@@ -76,6 +79,9 @@
     std::map<std::string, MonotonicTime, std::less<>> m_statusOf; // The time that a host's latest report is of.
     std::map<std::string, ReplicaDemand, std::less<>> m_demand; // By model.
     MonotonicTime m_summaryAt {};
+    uint64_t m_addressesOf = UINT64_MAX; // The version of the host table that they are of.
+    size_t m_statusCalls = 0; // Under way.
+    size_t m_relayedCalls = 0; // Of those, through peers.
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,10 @@
     constexpr Milliseconds keepUpPeriod { 50 };
     constexpr int slowTicks = 20; // Of that period, for what is done once a second.
     constexpr std::chrono::seconds addressesKept { 60 };
+    // A loop that stood for longer answers nobody in time; told once for each such pause.
+    constexpr Milliseconds longPause { 200 };
+    // Adding up what some sixteen nodes have in flight takes about as long as all else that a tick does.
+    constexpr size_t peersPerTick = 16;
     constexpr Milliseconds tellStandingStillFor { 700 };
     constexpr Milliseconds avoidOnHearsay { 800 };
     // A refused call would have held its place for about as long as a usual answer takes.
@@ -81,6 +85,10 @@
         if (auto* error = std::get_if<Error>(&port))
             return *error;
     }
+    if (!settings.isCpuShareReadable())
+        m_context.log.write("setting_ignored",
+            { { "setting", "cpu-share" }, { "value", settings.cpuShare }, { "taken", settings.cpuShareOrUsual() },
+                { "allowed", "a number of cores above 0, such as 0.25" } });
     m_context.log.write(
         "started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
     asio::co_spawn(m_context.io, m_configFollower.run(), asio::detached);
@@ -149,13 +157,16 @@
     m_context.routes = std::make_shared<const RouteTable>(std::move(read));
     m_context.configText = text;
     logConfig(m_context, source);
+    takeWaitingEntries();
 }
 
 LogFollower::Handlers Gateway::configHandlers()
 {
     auto take = [this](const LogRecord& record) {
-        if (record.isReadable && record.value && m_context.platform.isConfigKey(record.key))
+        bool isConfig = record.isReadable && record.value && m_context.platform.isConfigKey(record.key);
+        if (isConfig)
             adoptConfig(*record.value, "store");
+        return isConfig;
     };
     return { [] {}, take, [] {} };
 }
@@ -165,41 +176,60 @@
     return { [this] { m_listing.clear(); },
         [this](const LogRecord& record) {
             m_listing.insert(record.key);
-            takeHost(record);
+            return takeHost(record);
         },
-        [this] { dropUnlistedHosts(); } };
+        [this] { dropUnlistedHosts(); }, [this] { m_context.hosts.listWasRead(m_context.now()); } };
 }
 
-void Gateway::takeHost(const LogRecord& record)
+// False if the entry says what was known.
+bool Gateway::takeHost(const LogRecord& record)
 {
+    LoopTime::Section section(m_context.loopTime, LoopPart::List);
     if (record.isReadable && !record.value) {
         m_unreadableHosts.erase(record.key);
+        m_hostsWithoutService.erase(record.key);
         dropHost(record.key);
-        return;
+        return true;
     }
     auto host = record.isReadable
         ? m_context.platform.host(record.key, *record.value)
         : Settled<Host>(Error { ErrorCode::Malformed, Step::MembershipRead, "store", "bytes" });
     if (auto* error = std::get_if<Error>(&host)) {
         noteUnreadable(record.key, *error);
-        return;
+        return true;
     }
-    auto& listed = std::get<Host>(host);
-    bool isOfNoService = m_context.routes && !m_context.routes->config().service(listed.service);
+    return takeEntry(record.key, std::get<Host>(std::move(host)));
+}
+
+bool Gateway::takeEntry(const std::string& key, Host host)
+{
+    bool isOfNoService = m_context.routes && !m_context.routes->config().service(host.service);
     if (isOfNoService) {
-        noteUnreadable(record.key,
+        noteUnreadable(key,
             { ErrorCode::Malformed, Step::MembershipRead, "store",
-                "the configuration has no service " + listed.service });
-        return;
+                "the configuration has no service " + host.service });
+        if (m_hostsWithoutService.size() < mostUnreadableKept)
+            m_hostsWithoutService.insert_or_assign(key, std::move(host));
+        return true;
     }
-    m_dropsDue.erase(record.key);
-    m_unreadableHosts.erase(record.key);
-    const Host* known = m_context.hosts.find(listed.id);
-    if (!known || known->draining != listed.draining)
+    // One that was about to be dropped stays: that is news to nodes that read on here.
+    bool isBack = m_dropsDue.erase(key) > 0;
+    isBack = m_unreadableHosts.erase(key) > 0 || isBack;
+    m_hostsWithoutService.erase(key);
+    const Host* known = m_context.hosts.find(host.id);
+    if (!known || known->draining != host.draining)
         m_context.log.write("host_listed",
-            { { "host", listed.id }, { "service", listed.service }, { "draining", listed.draining },
-                { "zone", listed.zone }, { "domain", listed.status.domain } });
-    m_context.hosts.listed(std::move(listed), m_context.now());
+            { { "host", host.id }, { "service", host.service }, { "draining", host.draining }, { "zone", host.zone },
+                { "domain", host.status.domain } });
+    return m_context.hosts.listed(std::move(host), m_context.now()) || isBack;
+}
+
+void Gateway::takeWaitingEntries()
+{
+    auto waiting = std::move(m_hostsWithoutService);
+    m_hostsWithoutService.clear();
+    for (auto& [key, host] : waiting)
+        takeEntry(key, std::move(host));
 }
 
 // It names no host to use. One that is listed under the key goes, unless it writes its own entry again in time: its
@@ -278,23 +308,61 @@
 asio::awaitable<void> Gateway::keepUp()
 {
     for (int tick = 0;; ++tick) {
-        dropDueHosts();
-        m_context.hosts.expireReports(m_context.now());
-        refreshOthersInFlight();
-        refreshTargets();
-        cutStandingStill();
-        updateDemand();
-        m_context.log.flush();
-        if (tick % slowTicks == 0) {
-            m_context.pool.closeIdle(m_context.now());
-            rememberAddresses();
-            m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
-            m_sessions.remove_if([](const auto& session) { return session.expired(); });
+        watchLoop(m_context.now());
+        {
+            LoopTime::Section section(m_context.loopTime, LoopPart::Upkeep);
+            dropDueHosts();
+            m_context.hosts.expireReports(m_context.now());
+            if (static_cast<size_t>(tick) % (1 + m_peers.aliveCount() / peersPerTick) == 0)
+                refreshOthersInFlight();
+            cutStandingStill();
+            updateDemand();
+            m_context.log.flush();
+            if (tick % slowTicks == 0) {
+                m_context.pool.closeIdle(m_context.now());
+                rememberAddresses();
+                m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
+                m_sessions.remove_if([](const auto& session) { return session.expired(); });
+                reportLoop();
+            }
         }
+        refreshTargets();
+        m_context.pauses.fired(m_context.now(), m_context.now() + keepUpPeriod); // What the tick took is no delay.
         co_await pause(keepUpPeriod);
     }
 }
 
+// A pause of this loop is no stop of any stream: what came meanwhile has yet to be read.
+void Gateway::watchLoop(MonotonicTime now)
+{
+    m_context.pauses.fired(now, now + keepUpPeriod);
+    auto pause = m_context.pauses.latest();
+    m_context.metrics.observe("loop_pause_seconds", pause);
+    if (pause == MonotonicTime::duration(0))
+        return;
+    m_context.balancer.excusePause(pause, now);
+    if (pause > m_longestPause)
+        m_longestPause = pause;
+    if (pause < longPause)
+        return;
+    m_context.metrics.count("loop_long_pauses_total");
+    nlohmann::json fields { { "pause_ms", std::chrono::duration<double, std::milli>(pause).count() },
+        { "calls", m_context.calls.size() } };
+    for (size_t i = 0; i < loopPartNames.size(); ++i)
+        fields["spent_s"][loopPartNames[i]] = toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i)));
+    m_context.log.write("loop_late", std::move(fields));
+}
+
+void Gateway::reportLoop()
+{
+    Metrics& metrics = m_context.metrics;
+    metrics.set("loop_longest_pause_seconds", toSeconds(m_longestPause));
+    metrics.set("calls_in_flight", static_cast<double>(m_context.calls.size()));
+    for (size_t i = 0; i < loopPartNames.size(); ++i)
+        metrics.set(fmt::format("loop_busy_seconds{{part=\"{}\"}}", loopPartNames[i]),
+            toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i))));
+}
+
 void Gateway::refreshOthersInFlight()
 {
     std::map<std::string, uint32_t, std::less<>> total;
@@ -310,6 +378,7 @@
 {
     if (!m_context.routes || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
         return;
+    LoopTime::Section section(m_context.loopTime, LoopPart::Targets);
     m_targetsOf = m_context.hosts.version();
     m_targetsOfRoutes = m_context.routes.get();
     const FleetConfig& config = m_context.routes->config();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,7 +31,9 @@
     bool isReady() const;
 
     void adoptConfig(std::string_view text, std::string_view source);
-    void takeHost(const LogRecord&);
+    bool takeHost(const LogRecord&);
+    bool takeEntry(const std::string& key, Host);
+    void takeWaitingEntries();
     void dropUnlistedHosts();
     void noteUnreadable(const std::string& key, const Error&);
     void dropHost(const std::string& name);
@@ -46,6 +48,8 @@
     void refreshTargets();
     void rememberAddresses();
     void refreshOthersInFlight();
+    void watchLoop(MonotonicTime now);
+    void reportLoop();
     void cutStandingStill();
     void updateDemand();
     asio::awaitable<void> stopGracefully();
@@ -64,9 +68,12 @@
     std::list<std::weak_ptr<CallerSession>> m_sessions;
     std::set<std::string, std::less<>> m_listing; // Names of hosts seen in the listing under way.
     std::set<std::string, std::less<>> m_unreadableHosts; // Keys of entries that were logged as unreadable.
+    // Entries by key whose service the configuration lacks: a later one may have it, and they come only once.
+    std::map<std::string, Host, std::less<>> m_hostsWithoutService;
     // By name: hosts whose entries lapsed around an interruption, or were overwritten by another writer.
     std::map<std::string, MonotonicTime, std::less<>> m_dropsDue;
     std::map<std::string, MonotonicTime, std::less<>> m_stoodStillAt; // Heads.
+    MonotonicTime::duration m_longestPause {}; // In this life.
     uint64_t m_targetsOf = UINT64_MAX; // Versions that the targets were made from.
     const RouteTable* m_targetsOfRoutes = nullptr;
 };
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -25,6 +25,12 @@
     // Nodes that wait for the same end don't claim in the same moment.
     constexpr double claimSpreadMs = 250;
 
+    // A control that nobody held yet is only claimed once nodes have heard of each other: two rounds of digests tell
+    // the strong ones.
+    constexpr Milliseconds firstClaimAfter { 1200 };
+    // A holder that is none of the strong nodes hands over once these have been back for this long.
+    constexpr Milliseconds handOverAfter { 5000 };
+
     // Nodes that follow the log and may take over; each record of the holder wakes all that follow.
     constexpr size_t candidates = 3;
     constexpr const char* controlDuty = "control";
@@ -45,18 +51,18 @@
     , m_health(health)
     , m_peers(peers)
     , m_follower(context, health, LogName::Controller, controllerPace,
-          { [] {}, [this](const LogRecord& record) { take(record); }, [] {} })
+          { [] {}, [this](const LogRecord& record) { return take(record); }, [] {} })
     , m_self(lifeName(context.settings.name, context.incarnation))
     , m_seenAt(bootNow())
 {
     m_follower.followWhile([this] { return isCandidate(); });
 }
 
-void ControllerLease::take(const LogRecord& record)
+bool ControllerLease::take(const LogRecord& record)
 {
     auto entry = nlohmann::json::parse(record.value.value_or(""), nullptr, false);
     if (!entry.is_object())
-        return;
+        return false;
     std::string holder = entry.value("holder", "");
     if (holder != m_holder) {
         m_context.log.write(
@@ -65,6 +71,7 @@
     }
     m_holder = holder;
     m_seenAt = bootNow();
+    return true;
 }
 
 std::optional<uint64_t> ControllerLease::fencing() const
@@ -91,13 +98,32 @@
     return m_peers.hears(m_holder) ? takeOverFromHeard : takeOverFromSilent;
 }
 
+// Ten seconds of a plan on a small node are one on a strong node.
+bool ControllerLease::isOutranked()
+{
+    if (m_holder != m_self || m_peers.isStrongNode())
+        m_outrankedSince.reset();
+    else if (!m_outrankedSince)
+        m_outrankedSince = bootNow();
+    return m_outrankedSince && bootNow() - *m_outrankedSince > handOverAfter;
+}
+
 asio::awaitable<void> ControllerLease::run()
 {
+    BootTime begun = bootNow();
     for (;;) {
         co_await pause(step);
         if (m_context.isStopping || m_isReleased)
             continue;
+        if (isOutranked() && m_health.isServing()) {
+            m_context.log.write("control_handed_over", { { "term", m_term } });
+            co_await claim(true);
+            m_outrankedSince.reset();
+            continue;
+        }
         bool isOwn = m_holder == m_self;
+        if (m_holder.empty() && bootNow() - begun < firstClaimAfter)
+            continue;
         BootTime waited = bootNow() - (isOwn ? m_validFrom : m_seenAt);
         bool isFree = m_holder.empty();
         // A node that the store turns away sees no renewals either; that is no reason to take over.
@@ -119,6 +145,9 @@
     BootTime sentAt = bootNow();
     std::string record = nlohmann::json { { "holder", isRelease ? "" : m_self } }.dump();
     m_context.metrics.count("store_calls_total{kind=\"append\"}");
+    if (m_holder == m_self && !isRelease)
+        m_context.metrics.observe(
+            "lease_renewal_late_seconds", std::max(BootTime(0), sentAt - m_validFrom - renewEvery));
     auto answer = co_await m_context.pool.exchange(m_context.settings.store,
         m_context.platform.append(LogName::Controller, m_follower.nextOffset(), record), claimTimeout, Step::LogAppend);
     auto* response = std::get_if<HttpResponse>(&answer);
--- a/src/gateway/lease.h
+++ b/src/gateway/lease.h
@@ -42,9 +42,10 @@
     static BootTime bootNow();
 
 private:
-    void take(const LogRecord&);
+    bool take(const LogRecord&);
     asio::awaitable<void> claim(bool isRelease);
     Milliseconds takeOverAfter() const;
+    bool isOutranked();
     // Others neither follow the log nor claim. One that becomes a candidate may hold old news, and a claim on that
     // fails.
     bool isCandidate() const;
@@ -60,6 +61,7 @@
     BootTime m_validFrom {}; // Own lease: when the latest claim that succeeded was sent.
     std::optional<uint64_t> m_fencedTerm;
     uint64_t m_newestHeard = 0; // Term that a peer read of.
+    std::optional<BootTime> m_outrankedSince;
     bool m_storeIsAway = false; // By the latest claim.
     bool m_isReleased = false;
 };
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -58,10 +58,10 @@
 std::string encode(const PeerDigest& digest)
 {
     json result { { "name", digest.name }, { "incarnation", digest.incarnation }, { "callers", digest.callers },
-        { "peers", digest.peers }, { "zone", digest.zone }, { "stopping", digest.isStopping },
-        { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen }, { "config", digest.configVersion },
-        { "term", digest.controllerTerm }, { "in_flight", digest.inFlight }, { "waiting", digest.waiting },
-        { "still", digest.standingStill }, { "known", digest.knownPeers } };
+        { "peers", digest.peers }, { "zone", digest.zone }, { "cpu", digest.cpuShare },
+        { "stopping", digest.isStopping }, { "ready", digest.isReady }, { "calls_seen", digest.anyCallSeen },
+        { "config", digest.configVersion }, { "term", digest.controllerTerm }, { "in_flight", digest.inFlight },
+        { "waiting", digest.waiting }, { "still", digest.standingStill }, { "known", digest.knownPeers } };
     for (const auto& reported : digest.reported)
         result["reported"].push_back(encodeStatus(reported));
     return result.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -77,6 +77,7 @@
         digest.callers = entry.at("callers").get<std::string>();
         digest.peers = entry.at("peers").get<std::string>();
         digest.zone = entry.at("zone").get<std::string>();
+        digest.cpuShare = entry.value("cpu", 0.0);
         digest.isStopping = entry.at("stopping").get<bool>();
         digest.isReady = entry.at("ready").get<bool>();
         digest.anyCallSeen = entry.at("calls_seen").get<bool>();
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -25,6 +25,7 @@
     std::string callers; // Where it takes requests.
     std::string peers; // Where it takes digests.
     std::string zone;
+    double cpuShare = 0; // Of one core.
     bool isStopping = false;
     bool isReady = false;
     bool anyCallSeen = false;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,6 +1,5 @@
 #include "gateway/peers.h"
 
-#include "fleet/rendezvous.h"
 #include "gateway/asio.h"
 #include "gateway/relay.h"
 
@@ -58,9 +57,9 @@
         m_peers.try_emplace(address.toString());
 }
 
-bool Peers::isAlive(const Peer& peer) const
+bool Peers::isAlive(const Peer& peer, MonotonicTime now) const
 {
-    return !peer.digest.name.empty() && m_context.now() - peer.heardAt < aliveFor();
+    return !peer.digest.name.empty() && now - peer.heardAt < aliveFor();
 }
 
 Milliseconds Peers::aliveFor() const
@@ -104,7 +103,10 @@
     peer.isBusy = true;
     peer.triedAt = m_context.now();
     HttpRequest request(http::verb::post, "/digest", 11);
-    request.body() = encode(ownDigest(address, false));
+    {
+        LoopTime::Section section(m_context.loopTime, LoopPart::Peers);
+        request.body() = encode(ownDigest(address, false));
+    }
     request.prepare_payload();
     countBytes("digest", peer.digest.zone, request.body().size());
     auto parsed = settle([&] { return Address::parse(address); });
@@ -115,6 +117,7 @@
     if (found == m_peers.end())
         co_return;
     found->second.isBusy = false;
+    LoopTime::Section section(m_context.loopTime, LoopPart::Peers);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto digest = response ? decodeDigest(response->body()) : std::nullopt;
     if (!digest) {
@@ -175,6 +178,7 @@
 
 HttpResponse Peers::answerDigest(const HttpRequest& request)
 {
+    LoopTime::Section section(m_context.loopTime, LoopPart::Peers);
     auto digest = decodeDigest(request.body());
     if (!digest) {
         m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
@@ -200,6 +204,7 @@
 
 HttpResponse Peers::answerHosts(const HttpRequest& request)
 {
+    LoopTime::Section section(m_context.loopTime, LoopPart::List);
     std::string_view text = toView(request.target()).substr(std::string_view(hostsTarget).size());
     uint64_t from = 0;
     std::from_chars(text.data(), text.data() + text.size(), from);
@@ -212,17 +217,22 @@
 }
 
 // Nodes that are alive, by their addresses for digests, this one among them; of all zones if none is given.
-std::vector<std::string> Peers::nodesOf(std::string_view zone) const
+std::vector<DutyNode> Peers::nodesOf(std::string_view zone) const
 {
-    std::vector<std::string> nodes { m_context.settings.peers.toString() };
+    MonotonicTime now = m_context.now();
+    std::vector<DutyNode> nodes { self() };
     for (const auto& [address, peer] : m_peers) {
         bool isOfZone = zone.empty() || peer.digest.zone == zone;
-        if (isAlive(peer) && isOfZone && !peer.digest.isStopping)
-            nodes.push_back(address);
+        if (isAlive(peer, now) && isOfZone && !peer.digest.isStopping)
+            nodes.push_back({ address, peer.digest.cpuShare });
     }
     return nodes;
 }
 
+DutyNode Peers::self() const { return { m_context.settings.peers.toString(), m_context.settings.cpuShareOrUsual() }; }
+
+bool Peers::isStrongNode() const { return isStrong(self(), nodesOf({})); }
+
 bool Peers::isChosen(std::string_view duty, size_t count) const
 {
     auto chosen = chooseNodes(nodesOf({}), duty, count);
@@ -247,7 +257,7 @@
     }
     for (const std::string& zone : zones) {
         auto nodes = nodesOf(zone);
-        std::erase(nodes, self);
+        std::erase_if(nodes, [&](const DutyNode& node) { return node.address == self; });
         std::ranges::move(chooseNodes(nodes, readHostsDuty, readersPerZone), std::back_inserter(readers));
     }
     return readers;
@@ -317,6 +327,7 @@
     digest.callers = m_context.settings.callers.toString();
     digest.peers = m_context.settings.peers.toString();
     digest.zone = m_context.settings.zone;
+    digest.cpuShare = m_context.settings.cpuShareOrUsual();
     digest.isStopping = m_context.isStopping;
     digest.anyCallSeen = m_context.anyCallSeen;
     digest.configVersion = configVersion();
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/configcatchup.h"
+#include "fleet/rendezvous.h"
 #include "gateway/context.h"
 #include "gateway/peerdigest.h"
 #include "gateway/recordfeed.h"
@@ -36,6 +37,8 @@
     void serveHosts(FeedHosts feed) { m_feedHosts = std::move(feed); }
     // Whether this node is one of so many that take on a duty for all.
     bool isChosen(std::string_view duty, size_t count) const;
+    // Whether this node has about as much of a core as any that is alive.
+    bool isStrongNode() const;
 
     // Addresses where other nodes that are alive and take requests do so.
     std::vector<std::string> callerAddresses(std::string_view zone) const;
@@ -46,8 +49,9 @@
     // Visits the digests of peers that are alive.
     template <typename Visit> void forEachAlive(Visit&& visit) const
     {
+        MonotonicTime now = m_context.now();
         for (const auto& [address, peer] : m_peers) {
-            if (isAlive(peer))
+            if (isAlive(peer, now))
                 visit(peer.digest);
         }
     }
@@ -63,9 +67,11 @@
         int digestsWithoutPeers = 0; // Told to it since the last that named the other nodes.
     };
 
-    bool isAlive(const Peer&) const;
+    bool isAlive(const Peer& peer) const { return isAlive(peer, m_context.now()); }
+    bool isAlive(const Peer&, MonotonicTime now) const;
     Milliseconds aliveFor() const;
-    std::vector<std::string> nodesOf(std::string_view zone) const;
+    std::vector<DutyNode> nodesOf(std::string_view zone) const;
+    DutyNode self() const;
     std::vector<std::string> hostReaders(bool isTurnedAway) const;
     uint64_t configVersion() const;
     // What is told to this peer, given by its address.
--- a/src/gateway/recordfeed.cpp
+++ b/src/gateway/recordfeed.cpp
@@ -9,7 +9,7 @@
 
     using nlohmann::json;
 
-    // Some ten seconds of the heartbeats of 200 hosts; a small part of a host's memory.
+    // Some thousand entries with news, more than a whole fleet's first plan makes; a small part of a host's memory.
     constexpr size_t mostBytesKept = 512 * 1024;
 
     size_t sizeOf(const LogRecord& record) { return record.key.size() + record.value.value_or("").size(); }
@@ -24,19 +24,20 @@
 
 }
 
-void RecordFeed::took(uint64_t from, const LogPage& page, MonotonicTime now)
+void RecordFeed::took(uint64_t from, std::vector<LogRecord> news, uint64_t nextOffset, MonotonicTime now)
 {
     if (from != m_next)
         restart(from, now);
-    for (const LogRecord& record : page.records) {
-        m_records.push_back(record);
+    for (LogRecord& record : news) {
         m_bytes += sizeOf(record);
+        m_records.push_back(std::move(record));
     }
     while (m_bytes > mostBytesKept) {
         m_bytes -= sizeOf(m_records.front());
+        m_first = m_records.front().offset + 1;
         m_records.pop_front();
     }
-    m_next = page.nextOffset;
+    m_next = nextOffset;
     m_readAt = now;
 }
 
@@ -44,14 +45,14 @@
 {
     m_records.clear();
     m_bytes = 0;
+    m_first = nextOffset;
     m_next = nextOffset;
     m_readAt = now;
 }
 
 std::optional<RecordBatch> RecordFeed::from(uint64_t offset, MonotonicTime now) const
 {
-    uint64_t first = m_records.empty() ? m_next : m_records.front().offset;
-    if (!m_readAt || offset < first)
+    if (!m_readAt || offset < m_first)
         return std::nullopt;
     RecordBatch batch;
     batch.nextOffset = std::max(offset, m_next);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -11,6 +11,18 @@
 
 namespace {
 
+    // Of a small entry host; nodes that all lack the setting are all alike.
+    constexpr double usualCpuShare = 0.25;
+    constexpr double mostCpuShare = 1024;
+
+    std::optional<double> readCpuShare(std::string_view text)
+    {
+        double value = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        bool isShare = error == std::errc {} && end == text.data() + text.size() && value > 0 && value <= mostCpuShare;
+        return isShare ? std::optional(value) : std::nullopt;
+    }
+
     bool areAddresses(std::string_view list)
     {
         while (!list.empty()) {
@@ -39,6 +51,7 @@
                 {
                     { "name", &s.name, "this node's name", true },
                     { "zone", &s.zone, "its availability zone", true },
+                    { "cpu-share", &s.cpuShare, "of one core, that it may use; nodes with more take on duties" },
                 } },
             { "Addresses",
                 {
@@ -109,6 +122,10 @@
     return result;
 }
 
+double GatewaySettings::cpuShareOrUsual() const { return readCpuShare(cpuShare).value_or(usualCpuShare); }
+
+bool GatewaySettings::isCpuShareReadable() const { return cpuShare.empty() || readCpuShare(cpuShare); }
+
 RetryLimits GatewaySettings::retryLimits() const
 {
     return { std::strtod(retryRatio.c_str(), nullptr), static_cast<double>(retryAllowance), retryWindow };
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -23,6 +23,8 @@
     std::string seeds; // Peer addresses of some nodes, separated by commas; may be stale.
     Address store;
 
+    std::string cpuShare; // Of one core, that this node may use; decimal. See cpuShareOrUsual().
+
     Milliseconds stopGrace { 8000 }; // From SIGTERM until the process is killed.
     Milliseconds entriesLifetime { 1000 }; // How long callers may use an answer.
     std::string retryRatio = "0.2"; // Of first sends; decimal.
@@ -33,6 +35,9 @@
     std::string without; // Parts of the policy that are off, by mechanismNames; for measuring what they are worth.
 
     RetryLimits retryLimits() const;
+    // A usual share if none is given or if it is none: a node serves callers all the same.
+    double cpuShareOrUsual() const;
+    bool isCpuShareReadable() const;
     std::vector<Address> seedAddresses() const;
 
     int logDescriptor = 1; // Standard output; tests take another one.
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -120,19 +120,26 @@
     }
     m_health.answered();
     m_failures = 0;
-    const LogPage& found = std::get<LogPage>(page);
-    if (found.isGap)
+    auto& found = std::get<LogPage>(page);
+    if (found.isGap) {
         m_isListed = false;
-    m_feed.took(m_next, found, m_context.now());
-    takeRecords(found.records, found.nextOffset);
+        m_next = found.nextOffset;
+        m_feed.restart(m_next, m_context.now());
+        co_return true;
+    }
+    uint64_t from = m_next;
+    auto news = takeRecords(std::move(found.records), found.nextOffset);
+    m_feed.took(from, std::move(news), m_next, m_context.now());
     co_return true;
 }
 
-void LogFollower::takeRecords(const std::vector<LogRecord>& records, uint64_t nextOffset)
+// Those with news are left.
+std::vector<LogRecord> LogFollower::takeRecords(std::vector<LogRecord> records, uint64_t nextOffset)
 {
-    for (const LogRecord& record : records)
-        m_handlers.record(record);
+    std::erase_if(records, [this](const LogRecord& record) { return !m_handlers.record(record); });
     m_next = nextOffset;
+    m_handlers.upToDate();
+    return records;
 }
 
 asio::awaitable<bool> LogFollower::readFromPeer()
@@ -140,11 +147,11 @@
     if (!m_readFromPeer)
         co_return false;
     auto batch = co_await m_readFromPeer(m_next, m_failures > 0);
-    bool isContiguous = batch && (batch->records.empty() || batch->records.front().offset == m_next);
-    if (!isContiguous)
+    if (!batch)
         co_return false;
     m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
-    takeRecords(batch->records, batch->nextOffset);
+    // A node that becomes a reader hands on what it has from here on only.
+    takeRecords(std::move(batch->records), batch->nextOffset);
     co_return true;
 }
 
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -39,8 +39,9 @@
     struct Handlers {
         // begin/end bracket a listing of newest records: keys that it lacks were dropped.
         std::function<void()> beginListing;
-        std::function<void(const LogRecord&)> record;
+        std::function<bool(const LogRecord&)> record; // False if it says nothing new.
         std::function<void()> endListing;
+        std::function<void()> upToDate = [] {}; // All records that there are were read.
     };
     struct Pace {
         Milliseconds wait; // How long the store may hold a read that finds nothing.
@@ -66,7 +67,7 @@
     asio::awaitable<bool> listNewest();
     asio::awaitable<bool> readOn();
     asio::awaitable<bool> readFromPeer();
-    void takeRecords(const std::vector<LogRecord>&, uint64_t nextOffset);
+    std::vector<LogRecord> takeRecords(std::vector<LogRecord>, uint64_t nextOffset);
     asio::awaitable<void> backOff();
 
     GatewayContext& m_context;
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -114,6 +114,31 @@
     EXPECT_EQ(epochOfA(table), 3u);
 }
 
+// A heartbeat without news: nothing is made anew for it, here or at nodes that read on here.
+TEST(HostTable, KeepsItsVersionWhenAnEntrySaysNothingNew)
+{
+    HostTable table;
+    EXPECT_TRUE(table.listed(hostWith(memberOf(1, MemberState::Open)), start));
+    uint64_t version = table.version();
+    EXPECT_FALSE(table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(1200)));
+    EXPECT_EQ(table.version(), version);
+    EXPECT_TRUE(table.listed(hostWith(memberOf(1, MemberState::Closing)), start + Milliseconds(2400)));
+    EXPECT_GT(table.version(), version);
+}
+
+// An entry that does not change is not sent again, but the list goes on being read.
+TEST(HostTable, ComesBackToAnEntryThatDidNotComeAgain)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(3, MemberState::Open)), start);
+    table.reported("a", memberOf(3, MemberState::Broken, 3), start + Milliseconds(100));
+    table.expireReports(start + Milliseconds(2700));
+    EXPECT_EQ(table.find("a")->status.membership->state, MemberState::Broken) << "the list was not read since";
+    table.listWasRead(start + Milliseconds(2800));
+    table.expireReports(start + Milliseconds(2800));
+    EXPECT_EQ(table.find("a")->status.membership->state, MemberState::Open);
+}
+
 // The entry of the earlier life goes only some seconds after the host has started again.
 TEST(HostTable, DropsTheEarlierLifeAtAnAddress)
 {
--- /dev/null
+++ b/tests/fleet/largeworld.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "fleet/plannerworld.h"
+
+#include <fmt/format.h>
+#include <map>
+
+namespace Kumquatpick {
+
+// 760 hosts in 40 domains of nineteen, for replicas of eight hosts and of four. Joins load at the rate of a weight
+// store that takes 95 loads at once; nothing else takes time.
+class LargeWorld : public PlannerWorld {
+public:
+    LargeWorld()
+        : PlannerWorld({ modelOf("large", 8), modelOf("small", 4) })
+    {
+        constexpr int hosts = 760;
+        constexpr int domains = 40;
+        wanted = { { "large", 47.5 }, { "small", 95 } };
+        service.timing.loadsPerSecond = 63;
+        service.timing.concurrentLoads = 95;
+        for (int i = 0; i < hosts; ++i)
+            addHost(fmt::format("host-{:03}", i), fmt::format("domain-{:02}", i % domains));
+        obey = [this](const HostOrder& order) { return obeyWithLoads(order); };
+    }
+
+    // Goes on in steps in which loads end.
+    void run(Milliseconds duration)
+    {
+        for (MonotonicTime end = now + duration; now < end;) {
+            PlannerWorld::run(Milliseconds(100));
+            endLoads();
+        }
+    }
+
+    void changeController() { planner = ReplicaPlanner(++m_fencing); }
+
+    size_t joiningHosts() const { return hostsWhoseHead(MemberState::Joining) + m_loads.size(); }
+    size_t openHosts() const { return hostsWhoseHead(MemberState::Open); }
+
+    int leavesOfJoined = 0;
+    size_t mostLoadsAtOnce = 0;
+
+private:
+    OrderResult obeyWithLoads(const HostOrder& order)
+    {
+        const Host* host = table.find(order.hostId);
+        bool isMember = host && host->isMemberOf(order.replica, order.epoch);
+        if (order.kind == OrderKind::Leave && isMember)
+            ++leavesOfJoined;
+        bool loads = order.kind == OrderKind::Join && !host->status.holds(order.model);
+        OrderResult result = carryOut(order);
+        if (!loads || result != OrderResult::Accepted)
+            return result;
+        HostStatus status = table.find(order.hostId)->status;
+        status.membership->state = MemberState::Joining;
+        status.stagedModels.clear();
+        table.reported(order.hostId, status, now += std::chrono::microseconds(1));
+        m_loads[order.hostId] = now + Milliseconds(1600);
+        mostLoadsAtOnce = std::max(mostLoadsAtOnce, m_loads.size());
+        return result;
+    }
+
+    void endLoads()
+    {
+        for (auto load = m_loads.begin(); load != m_loads.end();) {
+            if (load->second > now) {
+                ++load;
+                continue;
+            }
+            HostStatus status = table.find(load->first)->status;
+            status.stagedModels = { status.lastModel };
+            if (status.membership)
+                status.membership->state = MemberState::Ready;
+            table.reported(load->first, status, now += std::chrono::microseconds(1));
+            load = m_loads.erase(load);
+        }
+    }
+
+    size_t hostsWhoseHead(MemberState state) const
+    {
+        size_t count = 0;
+        for (const ReplicaView& replica : table.replicas())
+            count += replica.head && replica.head->status.membership->state == state ? replica.members.size() : 0;
+        return count;
+    }
+
+    uint64_t m_fencing = 7;
+    std::map<std::string, MonotonicTime> m_loads; // By host; when they end.
+};
+
+} // namespace Kumquatpick
--- a/tests/fleet/ordercounts_test.cpp
+++ b/tests/fleet/ordercounts_test.cpp
@@ -42,8 +42,15 @@
 
 }
 
+// A join of it has this as its condition, so a host that took an order nobody here knows of refuses.
+TEST_F(OrderCountsTest, TakesAHostThatHoldsNothingForOneWithoutOrders) { EXPECT_EQ(counts.known(hosts, "a"), 0u); }
+
 TEST_F(OrderCountsTest, KnowsNothingBeforeAReport)
 {
+    Host used;
+    used.id = "a";
+    used.status.stagedModels = { "large" };
+    hosts.listed(used, start);
     EXPECT_FALSE(counts.known(hosts, "a"));
     give(OrderKind::Join, OrderResult::Accepted, start + Milliseconds(10));
     EXPECT_FALSE(counts.known(hosts, "a"));
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -57,7 +57,9 @@
     void answerPlanner()
     {
         now += Milliseconds(1);
-        for (const std::string& id : planner.awaited()) {
+        std::set<std::string, std::less<>> awaited = planner.awaited();
+        awaited.insert(planner.awaitedLater().begin(), planner.awaitedLater().end());
+        for (const std::string& id : awaited) {
             const Host* host = table.find(id);
             if (!host || silentReports.contains(id))
                 continue;
--- a/tests/fleet/rendezvous_test.cpp
+++ b/tests/fleet/rendezvous_test.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-    std::vector<std::string> nodes(int count)
+    std::vector<DutyNode> nodes(int count, double cpuShare = 0.25)
     {
-        std::vector<std::string> result;
+        std::vector<DutyNode> result;
         result.reserve(static_cast<size_t>(count));
         for (int i = 0; i < count; ++i)
-            result.push_back("10.1.0." + std::to_string(i) + ":8229");
+            result.push_back({ "10.1.0." + std::to_string(i) + ":8229", cpuShare });
         return result;
     }
 
@@ -34,7 +34,7 @@
 {
     auto seen = nodes(20);
     auto chosen = chooseNodes(seen, "hosts", 2);
-    std::erase(seen, chosen[0]);
+    std::erase_if(seen, [&](const DutyNode& node) { return node.address == chosen[0]; });
     auto next = chooseNodes(seen, "hosts", 2);
     EXPECT_EQ(next[0], chosen[1]);
 }
@@ -47,4 +47,21 @@
     EXPECT_GT(duties.size(), 15u);
 }
 
+// Fifteen of 95 nodes have four times the processor of the others.
+TEST(Rendezvous, PrefersNodesWithMuchOfACore)
+{
+    auto seen = nodes(95, 0.12);
+    for (size_t i = 0; i < 15; ++i)
+        seen[i].cpuShare = 0.5;
+    for (int i = 0; i < 100; ++i) {
+        std::string chosen = chooseNodes(seen, "duty-" + std::to_string(i), 1)[0];
+        auto node = std::ranges::find(seen, chosen, &DutyNode::address);
+        EXPECT_TRUE(isStrong(*node, seen)) << chosen;
+    }
+    EXPECT_EQ(chooseNodes(seen, "hosts", 95).size(), 95u) << "others follow where these are too few";
+    std::vector<DutyNode> weak(seen.begin() + 15, seen.end());
+    EXPECT_EQ(chooseNodes(weak, "hosts", 2).size(), 2u) << "any node takes over once all of these are gone";
+    EXPECT_TRUE(isStrong(weak[0], weak));
+}
+
 } // namespace Kumquatpick
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/replicaplanner.h"
 
+#include "fleet/largeworld.h"
 #include "fleet/plannerworld.h"
 #include <gtest/gtest.h>
 
@@ -84,11 +85,15 @@
     EXPECT_GT(world.ordersTo("b", OrderKind::Join).size(), 1u) << "a join without an answer is repeated";
 }
 
+// The list may be behind: what it shows of a host that held a model before is not enough to join it.
 TEST(ReplicaPlanner, JoinsOnlyHostsThatReportThemselves)
 {
     PlannerWorld world = pairOfHosts();
     world.addHost("a", "d1");
     world.addHost("b", "d1");
+    Host used = *world.table.find("b");
+    used.status.stagedModels = { "small" };
+    world.table.listed(used, world.now);
     world.silentReports.insert("b");
     world.run(Milliseconds(2000));
     EXPECT_TRUE(world.ordersTo("a", OrderKind::Join).empty());
@@ -98,6 +103,25 @@
     EXPECT_FALSE(world.ordersTo("a", OrderKind::Join).empty());
 }
 
+// One that is listed as holding nothing is joined without a question, on the condition that it took no order at all;
+// one that did refuses, and is joined only once it has reported itself.
+TEST(ReplicaPlanner, JoinsAHostThatHoldsNothingOnlyIfItTookNoOrder)
+{
+    PlannerWorld world = pairOfHosts();
+    world.addHost("a", "d1");
+    world.addHost("b", "d1");
+    world.ordersAccepted["b"] = 3;
+    world.silentReports = { "a", "b" };
+    world.run(Milliseconds(2000));
+    auto joins = world.ordersTo("b", OrderKind::Join);
+    ASSERT_EQ(joins.size(), 1u);
+    EXPECT_EQ(joins[0].expectedOrders, 0u);
+    EXPECT_FALSE(world.table.find("b")->status.membership) << "it refused";
+    world.silentReports.clear();
+    world.run(Milliseconds(1000));
+    EXPECT_EQ(world.openReplicas().size(), 1u);
+}
+
 // One day the store's answers were seconds old: its list showed the head of an open replica as it was before it joined,
 // and as no order had reached the host since its last report, the join's condition held.
 TEST(ReplicaPlanner, BelievesNoOldListThatAHostIsFree)
@@ -117,6 +141,40 @@
     EXPECT_TRUE(world->ordersTo("b", OrderKind::Join).empty());
 }
 
+// 760 hosts in 40 domains of nineteen. Loads go on by themselves while control changes twice: what two earlier
+// controllers began is finished, and none of its hosts loads anew.
+TEST(ReplicaPlanner, FinishesWhatEarlierControllersWereForming)
+{
+    LargeWorld world;
+    world.run(Milliseconds(1500));
+    world.changeController();
+    world.run(Milliseconds(900));
+    world.changeController();
+    world.run(Milliseconds(20'000));
+    EXPECT_EQ(world.joiningHosts(), 0u) << "every formation is finished or freed";
+    EXPECT_GE(world.openHosts(), 600u);
+    EXPECT_EQ(world.leavesOfJoined, 0) << "none was taken apart";
+    EXPECT_LE(world.mostLoadsAtOnce, 2 * 95u + 8u) << "twice what the weight store runs at once, and one replica more";
+}
+
+// What an earlier controller had only half ordered is freed within three seconds.
+TEST(ReplicaPlanner, FreesWhatAnEarlierControllerLeftIncomplete)
+{
+    PlannerWorld world({ modelOf("large", 4) });
+    for (const char* id : { "a", "b", "c", "d" })
+        world.addHost(id, "d1");
+    world.obey
+        = [&](const HostOrder& order) { return order.hostId == "d" ? OrderResult::Lost : world.carryOut(order); };
+    world.run(Milliseconds(1000));
+    ASSERT_TRUE(world.table.find("a")->status.membership);
+    std::string earlier = world.table.find("a")->status.membership->replica;
+    world.obey = [&](const HostOrder& order) { return world.carryOut(order); };
+    world.planner = ReplicaPlanner(8);
+    world.run(Milliseconds(3000));
+    ASSERT_EQ(world.openReplicas().size(), 1u);
+    EXPECT_NE(world.openReplicas()[0].name, earlier);
+}
+
 // Another controller, or an order carried out late, was there first.
 TEST(ReplicaPlanner, JoinsAHostThatAcceptedAnotherOrderByItsNewCount)
 {
--- a/tests/gateway/recordfeed_test.cpp
+++ b/tests/gateway/recordfeed_test.cpp
@@ -9,12 +9,11 @@
 
     constexpr MonotonicTime start { std::chrono::hours(1) };
 
-    LogPage page(uint64_t from, int count, const std::string& value = "{}")
+    std::vector<LogRecord> records(uint64_t from, int count, const std::string& value = "{}")
     {
-        LogPage result;
+        std::vector<LogRecord> result;
         for (int i = 0; i < count; ++i)
-            result.records.push_back({ "host-" + std::to_string(i), value, from + static_cast<uint64_t>(i), true });
-        result.nextOffset = from + static_cast<uint64_t>(count);
+            result.push_back({ "host-" + std::to_string(i), value, from + static_cast<uint64_t>(i), true });
         return result;
     }
 
@@ -25,7 +24,7 @@
     RecordFeed feed;
     EXPECT_FALSE(feed.from(0, start)) << "nothing was read yet";
     feed.restart(40, start);
-    feed.took(40, page(40, 5), start + Milliseconds(100));
+    feed.took(40, records(40, 5), 45, start + Milliseconds(100));
     auto batch = feed.from(42, start + Milliseconds(300));
     ASSERT_TRUE(batch);
     EXPECT_EQ(batch->records.size(), 3u);
@@ -50,18 +49,31 @@
 {
     RecordFeed feed;
     feed.restart(40, start);
-    feed.took(40, page(40, 5), start);
-    feed.took(60, page(60, 2), start);
+    feed.took(40, records(40, 5), 45, start);
+    feed.took(60, records(60, 2), 62, start);
     EXPECT_FALSE(feed.from(44, start));
     EXPECT_EQ(feed.from(60, start)->records.size(), 2u);
 }
 
+// Most records are heartbeats without news; who lags reads past them.
+TEST(RecordFeed, HandsOnNewsAloneAndSaysHowFarItRead)
+{
+    RecordFeed feed;
+    feed.restart(40, start);
+    feed.took(40, records(61, 1), 700, start);
+    auto batch = feed.from(41, start);
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->records.size(), 1u);
+    EXPECT_EQ(batch->nextOffset, 700u);
+    EXPECT_TRUE(feed.from(62, start)->records.empty());
+}
+
 TEST(RecordFeed, KeepsABoundedPart)
 {
     RecordFeed feed;
     uint64_t next = 0;
     for (int i = 0; i < 100; ++i) {
-        feed.took(next, page(next, 20, std::string(1000, 'x')), start);
+        feed.took(next, records(next, 20, std::string(1000, 'x')), next + 20, start);
         next += 20;
     }
     EXPECT_FALSE(feed.from(0, start));
