Keep a replica whose member lost only its way to the store

Each dropped member took its replica along though it answered all the while: 60 of 131 replicas went, 240 hosts stood idle.

Ruled out: late reports (the members were asked and answered), the heads (those must get no more requests, as a dropped entry may mean that a host leaves).

Change: a member that the list drops counts for its replica for 15 s. The controller asks it directly meanwhile and takes the replica apart once it is silent, refuses or ends. It counts for nothing else.

--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -9,6 +9,9 @@
     // The list shows a change within its own lag of up to 0.8 s, and it is read every 0.4 s.
     constexpr Milliseconds listLag { 1300 };
     constexpr Milliseconds reportLasts { 2500 };
+    // A member that lost its way to the store is dropped from the list after three heartbeats, and serves on in its
+    // replica. Whoever controls the replica asks it meanwhile; this is how long a partition usually lasts.
+    constexpr std::chrono::seconds lapsedKept { 15 };
 
     uint64_t epochOf(const HostStatus& status) { return status.membership ? status.membership->epoch : 0; }
 
@@ -21,7 +24,8 @@
         return false;
     std::string& newest = m_newestLife[std::string(hostName(host.id))];
     if (!newest.empty() && newest != host.id)
-        unlisted(newest);
+        erase(newest);
+    m_lapsed.erase(newest);
     newest = host.id;
     m_firstSeen.try_emplace(host.id, m_firstSeen.size());
     bool isKnown = m_hosts.contains(host.id);
@@ -72,11 +76,23 @@
         return true;
     if (m_firstSeen.at(other->first) > m_firstSeen.at(host.id))
         return false;
-    unlisted(std::string(other->first));
+    erase(std::string(other->first));
     return true;
 }
 
 void HostTable::unlisted(std::string_view id)
+{
+    auto found = m_hosts.find(id);
+    if (found == m_hosts.end())
+        return;
+    const auto& membership = found->second.status.membership;
+    bool isMember = membership && membership->rank > 0 && !found->second.draining;
+    if (isMember)
+        m_lapsed.insert_or_assign(found->first, Lapsed { found->second, m_listReadAt });
+    erase(id);
+}
+
+void HostTable::erase(std::string_view id)
 {
     auto found = m_hosts.find(id);
     if (found == m_hosts.end())
@@ -90,7 +106,7 @@
 {
     auto found = m_hosts.find(id);
     if (found == m_hosts.end())
-        return;
+        return reportedAfterLapse(id, status);
     Sources& sources = m_sources.find(id)->second;
     uint64_t orders = status.ordersAccepted.value_or(0);
     if ((sources.reported && at <= sources.reportedAt) || (sources.mostOrders && orders < *sources.mostOrders))
@@ -107,8 +123,23 @@
     found->second.status = std::move(status);
 }
 
+// It counts for the replica that it was a member of, and for nothing else until it is listed again.
+void HostTable::reportedAfterLapse(std::string_view id, const HostStatus& status)
+{
+    auto lapsed = m_lapsed.find(id);
+    if (lapsed == m_lapsed.end())
+        return;
+    const Membership& membership = *lapsed->second.host.status.membership;
+    if (status.membership && status.membership->isOf(membership.replica, membership.epoch))
+        return;
+    m_lapsed.erase(lapsed);
+    ++m_version;
+}
+
 void HostTable::expireReports(MonotonicTime now)
 {
+    size_t outlived = std::erase_if(m_lapsed, [&](const auto& entry) { return now - entry.second.at > lapsedKept; });
+    m_version += outlived > 0 ? 1 : 0;
     for (auto& [id, sources] : m_sources) {
         bool isDue = sources.reported && now - sources.reportedAt > reportLasts && m_listReadAt > sources.reportedAt
             && (!sources.listed.status.membership || epochOf(sources.listed.status) >= epochOf(*sources.reported));
@@ -174,6 +205,12 @@
         if (membership.rank == 0)
             view.head = &host;
     }
+    for (const auto& [id, lapsed] : m_lapsed) {
+        const Membership& membership = *lapsed.host.status.membership;
+        auto view = views.find({ membership.replica, membership.epoch });
+        if (view != views.end())
+            view->second.lapsed.push_back(&lapsed.host);
+    }
     std::vector<ReplicaView> result;
     result.reserve(views.size());
     for (auto& [key, view] : views)
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -18,6 +18,10 @@
     std::string service;
     const Host* head = nullptr; // nullptr while no host says it is the head.
     std::vector<const Host*> members; // The head included.
+    std::vector<const Host*> lapsed; // Members that the list dropped lately; as they were then.
+
+    // As far as the list tells: one that it dropped may have lost only its way to the store.
+    bool isWhole(uint32_t hosts) const { return members.size() + lapsed.size() >= hosts; }
 };
 
 // What is known of the backend servers. Their list comes late; a host's own report overtakes it until the list had
@@ -67,10 +71,17 @@
 
     bool isEarlierLife(const Host&) const;
     bool dropEarlierLife(const Host&);
+    void erase(std::string_view id);
+    void reportedAfterLapse(std::string_view id, const HostStatus&);
     static void keepLastModel(Sources&, HostStatus&);
 
     std::map<std::string, Host, std::less<>> m_hosts; // With the status that counts.
     std::map<std::string, Sources, std::less<>> m_sources;
+    struct Lapsed {
+        Host host;
+        MonotonicTime at;
+    };
+    std::map<std::string, Lapsed, std::less<>> m_lapsed; // Members of replicas, other than heads.
     std::map<std::string, uint64_t, std::less<>> m_firstSeen; // In which order lives appeared; small, and kept.
     std::map<std::string, std::string, std::less<>> m_newestLife; // Its id, by the host's name; kept likewise.
     MonotonicTime m_listReadAt {};
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -32,6 +32,12 @@
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
+    // Of a member that the list dropped: it lost its way to the store, or it is about to end.
+    bool mayServeUnlisted(HostContact contact)
+    {
+        return contact == HostContact::Unknown || contact == HostContact::Answers;
+    }
+
     bool isSilent(HostContact contact) { return contact == HostContact::Silent || contact == HostContact::SilentToAll; }
 
     // An order that concerns one membership and does nothing to any other.
@@ -222,7 +228,7 @@
         return dissolve(input, replica, orders);
 
     const ModelSpec* model = input.service.model(replica.model);
-    bool isShort = model && replica.members.size() < model->hostsPerReplica;
+    bool isShort = model && !replica.isWhole(model->hostsPerReplica);
     bool isDoubted = isShort || input.standsStill(replica.head->id);
     bool hasLost = isShort;
     bool isLeaving = watch.retiringSince.has_value();
@@ -234,6 +240,10 @@
         hasLost = hasLost || isLost || (isDoubted && isSilent(contact));
         isLeaving = isLeaving || member->draining;
     }
+    for (const Host* member : replica.lapsed) {
+        m_awaited.insert(member->id);
+        hasLost = hasLost || !mayServeUnlisted(input.contact(member->id));
+    }
     if (hasLost)
         return dissolve(input, replica, orders);
     bool mayClose = isLeaving && replica.head->status.membership->state == MemberState::Open
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -373,7 +373,7 @@
     m_context.balancer.setOthersInFlight(std::move(total));
 }
 
-// A replica takes requests while its head is open and every member is listed, at the same epoch, and stays.
+// A replica takes requests while its head is open and every member is at the same epoch and stays, as far as is known.
 void Gateway::refreshTargets()
 {
     if (!m_context.routes || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
@@ -388,7 +388,7 @@
         const ModelSpec* model = service ? service->model(replica.model) : nullptr;
         bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
         bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
-        if (!model || !isOpen || isLeaving || replica.members.size() != model->hostsPerReplica)
+        if (!model || !isOpen || isLeaving || !replica.isWhole(model->hostsPerReplica))
             continue;
         targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
             service->capacity > 0 ? service->capacity : replica.head->capacity, model->pace });
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -139,6 +139,31 @@
     EXPECT_EQ(table.find("a")->status.membership->state, MemberState::Open);
 }
 
+// A member that lost its way to the store serves on; a head gets no more requests, as the list may mean that it leaves.
+TEST(HostTable, CountsAMemberThatTheListDropped)
+{
+    HostTable table;
+    Host head = hostWith(memberOf(1, MemberState::Open));
+    Host member = hostWith(memberOf(1, MemberState::Ready));
+    member.id = "b";
+    member.address = { "10.0.0.2", 1 };
+    member.status.membership->rank = 1;
+    table.listed(head, start);
+    table.listed(member, start);
+    table.unlisted("b");
+    EXPECT_EQ(table.find("b"), nullptr);
+    ASSERT_EQ(table.replicas().size(), 1u);
+    EXPECT_TRUE(table.replicas()[0].isWhole(2));
+    table.reported("b", memberOf(2, MemberState::Joining, 5), start + Milliseconds(100));
+    EXPECT_FALSE(table.replicas()[0].isWhole(2)) << "it went to another replica";
+    table.listed(member, start + Milliseconds(200));
+    table.unlisted("b");
+    table.expireReports(start + Milliseconds(16'000));
+    EXPECT_FALSE(table.replicas()[0].isWhole(2)) << "it was gone for long";
+    table.unlisted("a");
+    EXPECT_TRUE(table.replicas().empty());
+}
+
 // The entry of the earlier life goes only some seconds after the host has started again.
 TEST(HostTable, DropsTheEarlierLifeAtAnAddress)
 {
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -328,6 +328,25 @@
     EXPECT_TRUE(world->ordersTo(memberOf(*world), OrderKind::Leave).empty());
 }
 
+// A partition from the store alone: one host in nine lost its entry within a second, and each took its replica along
+// though it answered all the while, 60 of 131 replicas in all.
+TEST(ReplicaPlanner, KeepsAReplicaWhoseMemberLostOnlyItsWayToTheStore)
+{
+    auto world = servingPair();
+    std::string member = memberOf(*world);
+    world->table.unlisted(member);
+    world->orders.clear();
+    world->run(Milliseconds(5000));
+    for (const char* id : { "a", "b" }) {
+        EXPECT_TRUE(world->ordersTo(id, OrderKind::Leave).empty());
+        EXPECT_TRUE(world->ordersTo(id, OrderKind::Close).empty());
+    }
+    EXPECT_TRUE(world->planner.awaited().contains(member)) << "it is asked all the while";
+    world->contacts[member] = HostContact::Refused;
+    world->run(Milliseconds(1000));
+    EXPECT_FALSE(world->ordersTo(headOf(*world), OrderKind::Leave).empty()) << "it has ended";
+}
+
 TEST(ReplicaPlanner, ClosesAReplicaWhoseMemberLeavesAndLetsItFinish)
 {
     auto world = servingPair();
