Have spare hosts hold the model of their domain's replicas

Cause: domains of nineteen hold two replicas of eight and three spares. The spares loaded the model of four, which lacked fewer hosts. When a replica of eight lost one host, its seven survivors joined the spares as replicas of four: of 40 large replicas 15 were left after 16 s, with 50 to 107 wanted, while the small model had 118 of 98.

Change: a cold spare loads the model of a replica in its domain that it could make whole, two for each replica, by need and size, before one that idle hosts alone would complete.

--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -16,6 +16,9 @@
     constexpr double loadBurst = 5;
     // What a load is worth on an idle host that has a model already: that one may find its replica by itself.
     constexpr double warmHostShare = 0.5;
+    // Spare hosts that a domain keeps for each of its replicas of a model: several hosts are often lost within the
+    // seconds that it takes to load another spare.
+    constexpr uint32_t sparesPerReplica = 2;
 
     // Empty if the host has one, or ran none yet.
     std::string_view secondModel(const ServiceSpec& service, const Host& host, const ModelNeeds& needs)
@@ -38,9 +41,10 @@
 }
 
 void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, const HostsByDomain& freeHosts,
-    uint32_t otherLoads, std::vector<HostOrder>& orders)
+    ReplicasByDomain replicas, uint32_t otherLoads, std::vector<HostOrder>& orders)
 {
     m_awaited.clear();
+    m_replicas = std::move(replicas);
     m_otherLoads = otherLoads;
     dropEnded(input);
     stageIdleHosts(input, needs, freeHosts, orders);
@@ -57,6 +61,18 @@
     std::erase_if(m_refused, [&](const auto& entry) { return input.now - entry.second >= askAgainAfter; });
 }
 
+// Whether a spare host that holds the model could take the place of a host that one of the domain's replicas loses.
+// What is left of a replica of eight is of no use to that model without it: in domains of nineteen, the three spare
+// hosts loaded the model of four, survivors joined them, and 40 replicas of eight became 15 within sixteen seconds.
+bool ModelStaging::mendsReplica(std::string_view domain, const ModelSpec& model, uint32_t spares) const
+{
+    auto replicas = m_replicas.find(domain);
+    if (replicas == m_replicas.end())
+        return false;
+    auto count = replicas->second.find(model.name);
+    return count != replicas->second.end() && spares < count->second * sparesPerReplica;
+}
+
 // Whoever is still idle after all replicas were formed is stuck: it holds nothing, or what its domain lacks hosts for.
 // Such hosts load the model that they bring nearest to a further replica, the nearest first.
 void ModelStaging::stageIdleHosts(
@@ -87,13 +103,19 @@
     bool wouldLoseItsOnly = status.lastModel.empty() && !isCold;
     if (wouldLoseItsOnly || (!isCold && input.off.contains(Mechanism::StuckLoads)))
         return;
+    uint32_t largest = 1;
+    for (const ModelSpec& model : input.service.models)
+        largest = std::max(largest, model.hostsPerReplica);
     for (const ModelSpec& model : input.service.models) {
         if (status.holds(model.name))
             continue;
-        auto holders = std::ranges::count_if(
-            idle, [&](const Host* other) { return other->status.holds(model.name) || isStaging(*other, model.name); });
-        double missing = std::max(1.0, model.hostsPerReplica - static_cast<double>(holders));
-        double value = needs.at(model.name) / missing * (isCold ? 1 : warmHostShare);
+        auto holders = static_cast<uint32_t>(std::ranges::count_if(
+            idle, [&](const Host* other) { return other->status.holds(model.name) || isStaging(*other, model.name); }));
+        double missing = model.hostsPerReplica > holders ? model.hostsPerReplica - holders : 1;
+        double use = 1 / missing;
+        if (isCold && mendsReplica(status.domain, model, holders))
+            use = std::max(use, static_cast<double>(model.hostsPerReplica) / largest);
+        double value = needs.at(model.name) * use * (isCold ? 1 : warmHostShare);
         if (!best || value > best->value)
             best = IdleLoad { &host, model.name, value };
     }
--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -20,9 +20,12 @@
 // Before traffic, when loads cost nothing, this makes all hosts exchangeable inside their domains. Not thread-safe.
 class ModelStaging {
 public:
+    // Replicas that serve or form, by domain and model.
+    using ReplicasByDomain = std::map<std::string, std::map<std::string, uint32_t, std::less<>>, std::less<>>;
+
     // Adds orders. freeHosts: those that belong to no replica; otherLoads: in progress for replicas that form.
-    void plan(const PlannerInput&, const ModelNeeds&, const HostsByDomain& freeHosts, uint32_t otherLoads,
-        std::vector<HostOrder>& orders);
+    void plan(const PlannerInput&, const ModelNeeds&, const HostsByDomain& freeHosts, ReplicasByDomain,
+        uint32_t otherLoads, std::vector<HostOrder>& orders);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
     uint32_t loads() const { return static_cast<uint32_t>(m_stagings.size()); }
@@ -42,6 +45,7 @@
     };
 
     void dropEnded(const PlannerInput&);
+    bool mendsReplica(std::string_view domain, const ModelSpec&, uint32_t spares) const;
     void stageIdleHosts(const PlannerInput&, const ModelNeeds&, const HostsByDomain&, std::vector<HostOrder>&);
     void chooseIdleLoad(const PlannerInput&, const Host&, const std::vector<const Host*>& idle, const ModelNeeds&,
         std::optional<IdleLoad>& best) const;
@@ -53,6 +57,7 @@
     std::map<std::string, Staging, std::less<>> m_stagings; // By host.
     std::map<std::string, MonotonicTime, std::less<>> m_refused; // When a host last refused a load.
     std::set<std::string, std::less<>> m_awaited;
+    ReplicasByDomain m_replicas;
     uint32_t m_otherLoads = 0;
     double m_loadTokens = 0;
     std::optional<MonotonicTime> m_loadTokensAt;
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -159,6 +159,20 @@
     m_shift = Shift { std::move(shift->domain), std::move(shift->model), input.now };
 }
 
+ModelStaging::ReplicasByDomain ReplicaPlanner::replicasByDomain(const PlannerInput& input, const View& view) const
+{
+    ModelStaging::ReplicasByDomain result;
+    for (const ReplicaView& replica : view.replicas) {
+        if (isServing(input, replica))
+            ++result[replica.head->status.domain][replica.model];
+    }
+    for (const Formation& formation : m_formations) {
+        if (const Host* head = input.hosts.find(formation.members.front()))
+            ++result[head->status.domain][formation.model];
+    }
+    return result;
+}
+
 void ReplicaPlanner::formReplicas(const PlannerInput& input, View& view, std::vector<HostOrder>& orders)
 {
     // All idle hosts are asked, also those that are not chosen now: the next choice then finds what it needs.
@@ -182,7 +196,7 @@
         formReplica(input, view, *candidate, orders);
         loading += static_cast<uint32_t>(m_formations.back().coldMembers.size());
     }
-    m_staging.plan(input, needs(input, view), view.freeHosts, loading, orders);
+    m_staging.plan(input, needs(input, view), view.freeHosts, replicasByDomain(input, view), loading, orders);
     m_awaitedLater.insert(m_staging.awaited().begin(), m_staging.awaited().end());
 }
 
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -136,6 +136,7 @@
     std::vector<Candidate> candidatesIn(const PlannerInput&, const std::vector<const Host*>& freeHosts) const;
     std::optional<Candidate> candidateIn(
         const PlannerInput&, const ModelSpec&, const std::vector<const Host*>& freeHosts) const;
+    ModelStaging::ReplicasByDomain replicasByDomain(const PlannerInput&, const View&) const;
     uint32_t loadsOfFormations(const PlannerInput&) const;
     void shiftReplicas(const PlannerInput&, const View&);
     std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const View&) const;
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -413,6 +413,36 @@
 }
 
 // A replica that waited for the load of one host would keep the others from serving as long.
+// Nineteen hosts: two replicas of eight and three spares. A lost member's place is taken by a spare at once, as that
+// holds the same model; the seven that are left never become replicas of four.
+TEST(ReplicaPlanner, SparesMakeALargeReplicaWholeAgain)
+{
+    PlannerWorld world({ modelOf("large", 8), modelOf("small", 4) });
+    world.wanted = { { "large", 3 }, { "small", 1 } };
+    for (int i = 0; i < 19; ++i)
+        world.addHost("host-" + std::to_string(i), "d1");
+    world.run(Milliseconds(3000));
+    world.loadsAreFree = false;
+    auto largeReplicas = [&] {
+        return std::ranges::count_if(
+            world.openReplicas(), [](const ReplicaView& replica) { return replica.model == "large"; });
+    };
+    ASSERT_EQ(largeReplicas(), 2);
+    int loads = world.loadsByJoin;
+    for (int lost = 0; lost < 3; ++lost) {
+        auto replicas = world.openReplicas();
+        auto large = std::ranges::find(replicas, "large", &ReplicaView::model);
+        std::string member
+            = large->members.front() == large->head ? large->members.back()->id : large->members.front()->id;
+        world.contacts[member] = HostContact::Refused;
+        world.run(Milliseconds(1500));
+        world.table.unlisted(member);
+        world.run(Milliseconds(1500));
+        EXPECT_EQ(largeReplicas(), 2) << "after loss " << lost;
+    }
+    EXPECT_EQ(world.loadsByJoin, loads) << "no load from the weight store";
+}
+
 TEST(ReplicaPlanner, FormsNoReplicaOfColdHostsDuringTraffic)
 {
     PlannerWorld world({ modelOf("large", 4), modelOf("small", 2) });
