Shift in several domains at once; leave full replicas alone for a while

Cause: one shift at a time takes three seconds, so forty domains follow the demand for half a minute. A replica that refused as full stayed in the choice as if it were empty, as what the others have there is seconds old: single replicas drew up to 400 refusals, 4,206 sends were refused in 34 s.

Change: one shift for each eight domains at a time, reckoned with those under way. A refusal as full keeps a node off for 150 ms, doubled in a row up to 1.2 s; a host that says it is no head, for 1.5 s.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -22,6 +22,11 @@
     constexpr Milliseconds avoidStalled { 1500 };
     constexpr Milliseconds avoidFailed { 400 };
     constexpr double mostFailures = 6;
+    // A target that refused as full has a queue of several seconds; each further refusal in a row doubles the time.
+    // Kept in the choice as if it were empty, since what the others have there is seconds old, a full or closed replica
+    // drew up to 400 of a node's calls in half a minute.
+    constexpr Milliseconds avoidFull { 150 };
+    constexpr int mostDoublings = 3;
     constexpr double failureFade = 0.5; // A success halves what is held against a target.
 
     // Bytes between zones cost, but a tenth of a target's load is worth more than the way.
@@ -77,7 +82,7 @@
 {
     bool serves = target.what.service == request.service && target.what.model == request.model;
     bool hasRoom = target.own + target.others < target.what.capacity + request.queueLimit;
-    return serves && target.what.capacity > 0 && hasRoom && target.avoidUntil <= now
+    return serves && target.what.capacity > 0 && hasRoom && std::max(target.avoidUntil, target.fullUntil) <= now
         && std::ranges::find(request.avoid, target.what.hostId) == request.avoid.end();
 }
 
@@ -140,17 +145,21 @@
     switch (end) {
     case SendEnd::Finished:
         target.failures *= failureFade;
+        target.refusals = 0;
         break;
     case SendEnd::Failed:
         target.failures = std::min(mostFailures, target.failures + 1);
         target.avoidUntil
             = std::max(target.avoidUntil, now + avoidFailed * static_cast<int>(std::ceil(target.failures)));
         break;
+    case SendEnd::NotTaken:
+        target.fullUntil = now + avoidFull * (1 << std::min(target.refusals++, mostDoublings));
+        break;
     case SendEnd::Stalled:
     case SendEnd::Unreachable:
+    case SendEnd::NotServing:
         target.avoidUntil = std::max(target.avoidUntil, now + avoidStalled);
         break;
-    case SendEnd::NotTaken:
     case SendEnd::Withdrawn:
         break;
     }
@@ -210,7 +219,8 @@
 {
     Room room;
     for (const auto& [id, target] : m_targets) {
-        bool counts = target.what.service == service && target.what.model == model && target.avoidUntil <= now;
+        bool counts = target.what.service == service && target.what.model == model
+            && std::max(target.avoidUntil, target.fullUntil) <= now;
         if (!counts)
             continue;
         room.places += target.what.capacity;
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -25,7 +25,8 @@
 
 enum class SendEnd : uint8_t {
     Finished,
-    NotTaken, // Refused as full, or never sent: says nothing of the target's health.
+    NotTaken, // Refused as full: says nothing of the target's health, but what is known of its load is old.
+    NotServing, // Refused by a host that is no head any more.
     Withdrawn, // The caller left or its time was over.
     Failed, // Broken off, or an answer that can't be used.
     Stalled, // Nothing came although something was due.
@@ -86,6 +87,8 @@
         int writing = 0;
         double gapMs = 0; // Usual time between arrivals of anything from it while streams write; 0 until known.
         double failures = 0; // Fades with successes.
+        int refusals = 0; // As full, in a row.
+        MonotonicTime fullUntil {};
         MonotonicTime lastArrival {};
         MonotonicTime avoidUntil {};
     };
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -12,6 +12,9 @@
     // A warm load delays a replica by a second or two; joining the model that a host ran last does not.
     constexpr double warmCost = 0.1;
     constexpr Milliseconds longestShift { 5000 };
+    // One shift takes three seconds. In forty domains a single one at a time left a model with a seventh of the
+    // replicas that it needed, for half a minute; a small fleet has one all the same.
+    constexpr size_t domainsPerShift = 8;
     // At the very start hosts appear in the list one by one, some forty a second; where each model is at home is
     // settled once they have. Begun half a second earlier, pairs of early hosts spoilt a domain of ten for the large
     // model.
@@ -122,7 +125,8 @@
 
 bool ReplicaPlanner::isKeptFor(std::string_view domain, std::string_view otherModel) const
 {
-    return m_shift && m_shift->domain == domain && m_shift->model != otherModel;
+    auto shift = m_shifts.find(domain);
+    return shift != m_shifts.end() && shift->second.model != otherModel;
 }
 
 std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(const PlannerInput& input, const View& view) const
@@ -142,21 +146,46 @@
     return result;
 }
 
-// One shift at a time: what it frees shows in the needs before the next one.
+// As they will be once the shifts under way are over.
+std::map<std::string, uint32_t> ReplicaPlanner::replicasAfterShifts(const View& view) const
+{
+    std::map<std::string, uint32_t> have = view.have;
+    std::map<ReplicaKey, std::string> models;
+    for (const ReplicaView& replica : view.replicas) {
+        if (!isDissolving(replica))
+            models[{ replica.name, replica.epoch }] = replica.model;
+    }
+    for (const auto& [domain, shift] : m_shifts) {
+        ++have[shift.model];
+        for (const ReplicaKey& replica : shift.replicas) {
+            auto model = models.find(replica);
+            if (model != models.end() && have[model->second] > 0)
+                --have[model->second];
+        }
+    }
+    return have;
+}
+
+// One in each domain, and few at a time: what a shift frees shows in the needs before many more follow.
 void ReplicaPlanner::shiftReplicas(const PlannerInput& input, const View& view)
 {
-    if (m_shift && input.now - m_shift->begun > longestShift)
-        m_shift.reset();
-    if (m_shift || input.loadsAreFree || input.off.contains(Mechanism::Shift))
+    std::erase_if(m_shifts, [&](const auto& entry) { return input.now - entry.second.begun > longestShift; });
+    if (input.loadsAreFree || input.off.contains(Mechanism::Shift))
         return;
     auto domains = shiftDomains(input, view);
-    auto shift = chooseShift({ input.service, input.wanted, view.have, domains,
-        [&](const Host& host, std::string_view model) { return host.status.holds(model); } });
-    if (!shift)
-        return;
-    for (const auto& replica : shift->replicas)
-        m_watches[replica].retiringSince = input.now;
-    m_shift = Shift { std::move(shift->domain), std::move(shift->model), input.now };
+    size_t mostShifts = 1 + domains.size() / domainsPerShift;
+    std::erase_if(domains, [this](const ShiftDomain& domain) { return m_shifts.contains(domain.name); });
+    while (m_shifts.size() < mostShifts) {
+        auto have = replicasAfterShifts(view);
+        auto shift = chooseShift({ input.service, input.wanted, have, domains,
+            [&](const Host& host, std::string_view model) { return host.status.holds(model); } });
+        if (!shift)
+            return;
+        for (const auto& replica : shift->replicas)
+            m_watches[replica].retiringSince = input.now;
+        std::erase_if(domains, [&](const ShiftDomain& domain) { return domain.name == shift->domain; });
+        m_shifts[shift->domain] = { std::move(shift->model), std::move(shift->replicas), input.now };
+    }
 }
 
 ModelStaging::ReplicasByDomain ReplicaPlanner::replicasByDomain(const PlannerInput& input, const View& view) const
@@ -216,8 +245,7 @@
         if (!host->status.holds(formation.model))
             formation.coldMembers.push_back(host->id);
     }
-    if (m_shift && m_shift->domain == domain)
-        m_shift.reset();
+    m_shifts.erase(domain);
     ++view.have[formation.model];
     m_formations.push_back(std::move(formation));
     orderJoins(input, m_formations.back(), orders);
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -420,8 +420,8 @@
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_watches, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headIsOut; }));
-    if (m_shift)
-        summary.shift = fmt::format("{} in {}", m_shift->model, m_shift->domain);
+    for (const auto& [domain, shift] : m_shifts)
+        summary.shift += fmt::format("{}{} in {}", summary.shift.empty() ? "" : ", ", shift.model, domain);
     summary.loads = m_staging.loads() + loadsOfFormations(input);
     for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
         summary.freeHosts += hosts.size();
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -98,8 +98,8 @@
     using ReplicaKey = std::pair<std::string, uint64_t>;
     // A replica that others give way to; until it begins to form, free hosts of the domain are kept for it.
     struct Shift {
-        std::string domain;
         std::string model;
+        std::vector<ReplicaKey> replicas; // That give way.
         MonotonicTime begun;
     };
     struct Candidate {
@@ -139,6 +139,7 @@
     ModelStaging::ReplicasByDomain replicasByDomain(const PlannerInput&, const View&) const;
     uint32_t loadsOfFormations(const PlannerInput&) const;
     void shiftReplicas(const PlannerInput&, const View&);
+    std::map<std::string, uint32_t> replicasAfterShifts(const View&) const;
     std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const View&) const;
     bool isKeptFor(std::string_view domain, std::string_view otherModel) const;
     bool hasSettled(const PlannerInput&);
@@ -162,7 +163,7 @@
     ModelStaging m_staging;
     OrderCounts m_orderCounts;
     DomainHomes m_homes;
-    std::optional<Shift> m_shift;
+    std::map<std::string, Shift, std::less<>> m_shifts; // By domain.
     std::set<std::string, std::less<>> m_awaited;
     std::set<std::string, std::less<>> m_awaitedLater;
     std::optional<MonotonicTime> m_firstSeen; // Of any host; and since when their number stays the same.
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -43,6 +43,7 @@
     bool isWhole = true; // False if its body is encoded, which nobody asked for.
     bool isSigned = false; // Vouched for by the backend server: its own answer to a request that it ran.
     bool notRun = false; // The backend server promises that it did not and will not run the request.
+    bool isElsewhere = false; // The host that was meant is not there, or takes no requests of its replica.
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -227,6 +227,7 @@
     m_active->hostId = hostId;
     m_active->isStalled = false;
     m_sendEnd = SendEnd::Failed;
+    m_mayReuseConnection = false;
     uint64_t eventsBefore = m_events.events();
 
     SendOutcome outcome = SendOutcome::NotRun;
@@ -243,7 +244,7 @@
             outcome = co_await sendOver(*connection);
             m_active->backend = nullptr;
         }
-        if (outcome == SendOutcome::Answered || (outcome != SendOutcome::Broken && m_sendEnd == SendEnd::NotTaken))
+        if (outcome == SendOutcome::Answered || (outcome == SendOutcome::NotRun && m_mayReuseConnection))
             m_context.pool.release(std::move(connection));
     }
     m_active->hostId.clear();
@@ -345,7 +346,8 @@
     bool isWhole = co_await readBody(connection, *parser, body);
     if (reply.notRun) {
         m_lastProblem = fmt::format("refused with {}", reply.status);
-        m_sendEnd = keepsConnection && isWhole ? SendEnd::NotTaken : SendEnd::Withdrawn;
+        m_sendEnd = reply.isElsewhere ? SendEnd::NotServing : SendEnd::NotTaken;
+        m_mayReuseConnection = keepsConnection && isWhole;
         co_return SendOutcome::NotRun;
     }
     if (!isWhole)
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -413,6 +413,23 @@
 }
 
 // A replica that waited for the load of one host would keep the others from serving as long.
+// 40 domains, and traffic that turned to the large model: several domains shift at the same time.
+TEST(ReplicaPlanner, ShiftsInSeveralDomainsOfALargeFleet)
+{
+    LargeWorld world;
+    world.wanted = { { "large", 5 }, { "small", 150 } };
+    world.run(Milliseconds(25'000));
+    world.loadsAreFree = false;
+    auto largeReplicas = [&] {
+        return std::ranges::count_if(
+            world.openReplicas(), [](const ReplicaView& replica) { return replica.model == "large"; });
+    };
+    auto before = largeReplicas();
+    world.wanted = { { "large", 60 }, { "small", 80 } };
+    world.run(Milliseconds(5000));
+    EXPECT_GE(largeReplicas() - before, 12) << "one at a time makes four or five in this time";
+}
+
 // Nineteen hosts: two replicas of eight and three spares. A lost member's place is taken by a spare at once, as that
 // holds the same model; the seven that are left never become replicas of four.
 TEST(ReplicaPlanner, SparesMakeALargeReplicaWholeAgain)
