Exchange what nodes have in flight five times a second; read configurations through the zone's readers

Cause: at 95 nodes digests take 1.5 to 3 s to reach everybody, longer than most calls last. 18 of 100 first events of the small model came after 290 ms while its replicas were two thirds full in the mean: some were overfull, others not. Each of the 95 nodes waited at the store for configurations by itself: a quarter of all store calls.

Change: one node of a zone, a strong one, adds up what its nodes have in flight and exchanges the sums with the other zones; each node tells and hears it every 200 ms. Only where digests don't reach all peers in each round. Nodes that read the list of hosts through a peer hear of configurations there, and ask for the text at once.

--- a/src/fleet/configcatchup.cpp
+++ b/src/fleet/configcatchup.cpp
@@ -24,12 +24,12 @@
     m_newestSince = now;
 }
 
-std::optional<std::string> ConfigCatchUp::beginAsk(uint64_t ownVersion, MonotonicTime now, Random& random)
+std::optional<std::string> ConfigCatchUp::beginAsk(
+    uint64_t ownVersion, bool waitsForStore, MonotonicTime now, Random& random)
 {
     std::erase_if(m_holders, [&](const auto& entry) { return now - entry.second.heardAt > holderLasts; });
     bool isTooSoon = m_askedAt && now - *m_askedAt < betweenAsks;
-    // A node without any serves nobody meanwhile, so it does not wait for the store.
-    bool hadStoreTime = ownVersion == 0 || now - m_newestSince >= storeFirst;
+    bool hadStoreTime = !waitsForStore || now - m_newestSince >= storeFirst;
     if (m_isAsking || isTooSoon || !hadStoreTime || ownVersion >= m_newest)
         return std::nullopt;
     std::vector<std::string_view> near;
--- a/src/fleet/configcatchup.h
+++ b/src/fleet/configcatchup.h
@@ -20,8 +20,8 @@
 public:
     // A peer that is alive holds this version.
     void heard(std::string_view peer, bool isOfOwnZone, uint64_t version, MonotonicTime now);
-    // The peer to ask now, if one should be; begins the ask.
-    std::optional<std::string> beginAsk(uint64_t ownVersion, MonotonicTime now, Random&);
+    // The peer to ask now, if one should be; begins the ask. waitsForStore: the store may bring it by itself.
+    std::optional<std::string> beginAsk(uint64_t ownVersion, bool waitsForStore, MonotonicTime now, Random&);
     void askEnded();
 
 private:
--- /dev/null
+++ b/src/fleet/loadboard.cpp
@@ -0,0 +1,61 @@
+#include "fleet/loadboard.h"
+
+#include <algorithm>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Five rounds of an exchange: one answer that is late changes nothing.
+    constexpr Milliseconds toldLasts { 1000 };
+
+}
+
+void LoadBoard::nodeTold(std::string_view node, LoadsByHost loads, MonotonicTime now)
+{
+    std::erase_if(m_nodes, [&](const auto& entry) { return now - entry.second.at > toldLasts; });
+    m_nodes.insert_or_assign(std::string(node), Told { std::move(loads), now });
+}
+
+void LoadBoard::zoneTold(std::string_view zone, LoadsByHost loads, MonotonicTime now)
+{
+    m_zones.insert_or_assign(std::string(zone), Told { std::move(loads), now });
+}
+
+bool LoadBoard::isUsed(MonotonicTime now) const
+{
+    return std::ranges::any_of(m_nodes, [&](const auto& entry) { return now - entry.second.at <= toldLasts; });
+}
+
+bool LoadBoard::heardOfZone(std::string_view zone, Milliseconds within, MonotonicTime now) const
+{
+    auto found = m_zones.find(zone);
+    return found != m_zones.end() && now - found->second.at < within;
+}
+
+void LoadBoard::addUp(const ToldBy& toldBy, std::string_view except, MonotonicTime now, LoadsByHost& total)
+{
+    for (const auto& [name, told] : toldBy) {
+        if (name == except || now - told.at > toldLasts)
+            continue;
+        for (const auto& [host, count] : told.loads)
+            total[host] += count;
+    }
+}
+
+LoadsByHost LoadBoard::zoneTotal(MonotonicTime now) const
+{
+    LoadsByHost total;
+    addUp(m_nodes, {}, now, total);
+    return total;
+}
+
+LoadsByHost LoadBoard::othersOf(std::string_view node, MonotonicTime now) const
+{
+    LoadsByHost total;
+    addUp(m_nodes, node, now, total);
+    addUp(m_zones, {}, now, total);
+    return total;
+}
+
+} // namespace Kumquatpick
--- a/src/fleet/mechanism.h
+++ b/src/fleet/mechanism.h
@@ -22,11 +22,12 @@
     ConditionalJoins, // A host refuses a join if another order reached it meanwhile.
     StoreReaders, // A few nodes of a zone read the list of hosts for the others.
     ControlCandidates, // A few nodes follow the controller's log and may take over.
+    LoadExchange, // One node of a zone adds up what its nodes have in flight.
 };
 
 inline constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
     "return-order", "early-refusal", "return-spread", "relayed-probes", "conditional-joins", "store-readers",
-    "control-candidates" };
+    "control-candidates", "load-exchange" };
 
 // Those that are switched off.
 class MechanismsOff {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,7 @@
           m_context, [this](PeerDigest& digest) { fillDigest(digest); },
           [this](const PeerDigest& digest) { takeDigest(digest); },
           [this](std::string_view text, std::string_view source) { adoptConfig(text, source); })
+    , m_loads(m_context, m_peers)
     , m_lease(m_context, m_health, m_peers)
     , m_controller(m_context, m_lease, m_peers)
     , m_configFollower(m_context, m_health, LogName::OperatorsConfig, configPace, configHandlers())
@@ -65,16 +66,22 @@
     , m_callers(io, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
     , m_readiness(io, [this](const HttpRequest& request) { return answerReadiness(request); })
     , m_entries(io, [this](const HttpRequest& request) { return answerEntries(request); })
-    , m_peerServer(io, [this](const HttpRequest& request) { return m_peers.answer(request); })
+    , m_peerServer(io, [this](const HttpRequest& request) { return answerPeer(request); })
 {
     m_hostFollower.readFromPeers(
         [this](uint64_t from, bool isTurnedAway) { return m_peers.readHosts(from, isTurnedAway); });
     m_peers.serveHosts([this](uint64_t from) {
         auto batch = m_hostFollower.feed().from(from, m_context.now());
-        if (batch)
+        if (batch) {
+            batch->configVersion = m_context.routes ? m_context.routes->version() : 0;
             batch->storeServedFor = std::chrono::floor<Milliseconds>(m_context.now() - m_health.servesSince());
+        }
         return batch;
     });
+    // The same reader tells of configurations: each of 95 nodes that waited at the store for them made a quarter of all
+    // store calls.
+    m_configFollower.followWhile([this] { return !m_context.routes || !m_hostFollower.isReadByPeer(); });
+    m_peers.learnConfigsWhile([this] { return m_hostFollower.isReadByPeer(); });
 }
 
 Settled<std::monostate> Gateway::start()
@@ -97,6 +104,7 @@
     asio::co_spawn(m_context.io, m_lease.run(), asio::detached);
     asio::co_spawn(m_context.io, m_controller.run(), asio::detached);
     asio::co_spawn(m_context.io, m_peers.run(), asio::detached);
+    asio::co_spawn(m_context.io, m_loads.run(), asio::detached);
     asio::co_spawn(m_context.io, keepUp(), asio::detached);
     return std::monostate {};
 }
@@ -124,6 +132,13 @@
     co_return response;
 }
 
+asio::awaitable<HttpResponse> Gateway::answerPeer(const HttpRequest& request)
+{
+    if (request.target() == LoadExchange::target)
+        co_return m_loads.answer(request);
+    co_return co_await m_peers.answer(request);
+}
+
 asio::awaitable<HttpResponse> Gateway::answerEntries(const HttpRequest& request)
 {
     HttpResponse response(http::status::not_found, 11);
@@ -365,7 +380,9 @@
 
 void Gateway::refreshOthersInFlight()
 {
-    std::map<std::string, uint32_t, std::less<>> total;
+    if (const LoadsByHost* others = m_loads.others())
+        return m_context.balancer.setOthersInFlight(*others);
+    LoadsByHost total;
     m_peers.forEachAlive([&](const PeerDigest& digest) {
         for (const auto& [id, count] : digest.inFlight)
             total[id] += count;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/controllerloop.h"
 #include "gateway/lease.h"
 #include "gateway/listener.h"
+#include "gateway/loadexchange.h"
 #include "gateway/peers.h"
 #include "gateway/storeclient.h"
 
@@ -27,6 +28,7 @@
 private:
     void acceptCaller(asio::ip::tcp::socket);
     asio::awaitable<HttpResponse> answerReadiness(const HttpRequest&) const;
+    asio::awaitable<HttpResponse> answerPeer(const HttpRequest&);
     asio::awaitable<HttpResponse> answerEntries(const HttpRequest&);
     bool isReady() const;
 
@@ -57,6 +59,7 @@
     GatewayContext m_context;
     StoreHealth m_health;
     Peers m_peers;
+    LoadExchange m_loads;
     ControllerLease m_lease;
     ControllerLoop m_controller;
     LogFollower m_configFollower;
--- /dev/null
+++ b/src/gateway/loadexchange.cpp
@@ -0,0 +1,162 @@
+#include "gateway/loadexchange.h"
+
+#include "gateway/asio.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Kumquatpick {
+
+namespace {
+
+    using nlohmann::json;
+
+    // A call lasts about a second; what is younger than a quarter of it is nearly true.
+    constexpr Milliseconds period { 200 };
+    constexpr Milliseconds callTimeout { 300 };
+    constexpr Milliseconds othersLast { 1000 };
+    // While one that adds up is silent, the next one does; it is soon taken for gone.
+    constexpr size_t candidates = 2;
+    constexpr Milliseconds tryAgainAfter { 2000 };
+    constexpr const char* duty = "add-loads";
+
+    std::string encodeLoads(const char* field, std::string_view name, const LoadsByHost& loads)
+    {
+        auto bytes = json::to_cbor(json { { field, name }, { "loads", loads } });
+        return { bytes.begin(), bytes.end() };
+    }
+
+    // What names its sender, by one of two fields, and the loads.
+    struct ToldLoads {
+        std::string node;
+        std::string zone;
+        LoadsByHost loads;
+    };
+
+    std::optional<ToldLoads> decodeLoads(std::string_view bytes)
+    {
+        try {
+            json document = json::from_cbor(bytes.begin(), bytes.end());
+            return ToldLoads { document.value("node", ""), document.value("zone", ""),
+                document.at("loads").get<LoadsByHost>() };
+        } catch (const json::exception&) {
+            return std::nullopt; // Its reader logs it.
+        }
+    }
+
+}
+
+LoadExchange::LoadExchange(GatewayContext& context, Peers& peers)
+    : m_context(context)
+    , m_peers(peers)
+{
+}
+
+std::string LoadExchange::self() const { return m_context.settings.peers.toString(); }
+
+const LoadsByHost* LoadExchange::others() const
+{
+    bool isFresh = m_heardAt && m_context.now() - *m_heardAt < othersLast;
+    return isFresh ? &m_others : nullptr;
+}
+
+asio::awaitable<void> LoadExchange::run()
+{
+    for (;;) {
+        co_await pause(period);
+        if (m_peers.callsAllEachRound() || m_context.off.contains(Mechanism::LoadExchange))
+            continue;
+        MonotonicTime now = m_context.now();
+        std::erase_if(m_failedAt, [&](const auto& entry) { return now - entry.second > tryAgainAfter; });
+        auto adding = m_peers.chosenOf(m_context.settings.zone, duty, candidates);
+        std::erase_if(adding, [this](const std::string& peer) { return m_failedAt.contains(peer); });
+        bool addsUp = adding.empty() || adding.front() == self();
+        if (addsUp)
+            m_board.nodeTold(self(), m_context.balancer.inFlight(), now);
+        if (m_board.isUsed(now))
+            askOtherZones();
+        if (addsUp) {
+            m_others = m_board.othersOf(self(), now);
+            m_heardAt = now;
+        } else {
+            co_await tell(adding.front());
+        }
+    }
+}
+
+asio::awaitable<Settled<HttpResponse>> LoadExchange::call(
+    const std::string& peer, const char* field, std::string_view name, const LoadsByHost& loads)
+{
+    auto address = settle([&] { return Address::parse(peer); });
+    HttpRequest request(http::verb::post, target, 11);
+    request.body() = encodeLoads(field, name, loads);
+    request.prepare_payload();
+    co_return co_await m_context.pool.exchange(
+        std::get<Address>(address), std::move(request), callTimeout, Step::Gossip);
+}
+
+asio::awaitable<void> LoadExchange::tell(std::string peer)
+{
+    auto answer = co_await call(peer, "node", self(), m_context.balancer.inFlight());
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
+    if (!told) {
+        m_failedAt[peer] = m_context.now();
+        m_context.log.write("loads_not_heard", { { "peer", peer } });
+        co_return;
+    }
+    m_others = std::move(told->loads);
+    m_heardAt = m_context.now();
+}
+
+// One question tells both zones, so a zone that just asked is not asked.
+void LoadExchange::askOtherZones()
+{
+    for (const std::string& zone : m_peers.otherZones()) {
+        if (m_asking.contains(zone) || m_board.heardOfZone(zone, period * 3 / 4, m_context.now()))
+            continue;
+        auto adding = m_peers.chosenOf(zone, duty, candidates);
+        std::erase_if(adding, [this](const std::string& peer) { return m_failedAt.contains(peer); });
+        if (adding.empty())
+            continue;
+        m_asking.insert(zone);
+        asio::co_spawn(m_context.io, askZone(zone, adding.front()), asio::detached);
+    }
+}
+
+asio::awaitable<void> LoadExchange::askZone(std::string zone, std::string peer)
+{
+    auto answer = co_await call(peer, "zone", m_context.settings.zone, m_board.zoneTotal(m_context.now()));
+    m_asking.erase(zone);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
+    if (told)
+        m_board.zoneTold(zone, std::move(told->loads), m_context.now());
+    else
+        m_failedAt[peer] = m_context.now();
+}
+
+HttpResponse LoadExchange::answer(const HttpRequest& request)
+{
+    LoopTime::Section section(m_context.loopTime, LoopPart::Peers);
+    auto told = decodeLoads(request.body());
+    if (!told) {
+        m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
+        return { http::status::bad_request, 11 };
+    }
+    MonotonicTime now = m_context.now();
+    HttpResponse response(http::status::ok, 11);
+    if (!told->zone.empty()) {
+        m_board.zoneTold(told->zone, std::move(told->loads), now);
+        response.body() = encodeLoads("zone", m_context.settings.zone, m_board.zoneTotal(now));
+    } else {
+        m_board.nodeTold(told->node, std::move(told->loads), now);
+        m_board.nodeTold(self(), m_context.balancer.inFlight(), now); // Also if this node tells another one.
+        response.body() = encodeLoads("node", self(), m_board.othersOf(told->node, now));
+    }
+    return response;
+}
+
+} // namespace Kumquatpick
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -72,13 +72,19 @@
 {
     for (;;) {
         tellAll();
-        if (auto peer = m_catchUp.beginAsk(configVersion(), m_context.now(), m_context.random))
-            asio::co_spawn(m_context.io, askForConfig(std::move(*peer)), asio::detached);
+        askForNewerConfig();
         std::erase_if(m_peers, [](const auto& entry) { return entry.second.failures > triesBeforeForgotten; });
         co_await pause(roundPeriod);
     }
 }
 
+void Peers::askForNewerConfig()
+{
+    bool waitsForStore = configVersion() > 0 && !m_learnsConfigs();
+    if (auto peer = m_catchUp.beginAsk(configVersion(), waitsForStore, m_context.now(), m_context.random))
+        asio::co_spawn(m_context.io, askForConfig(std::move(*peer)), asio::detached);
+}
+
 void Peers::tellAll()
 {
     MonotonicTime now = m_context.now();
@@ -239,6 +245,26 @@
     return std::ranges::find(chosen, m_context.settings.peers.toString()) != chosen.end();
 }
 
+std::vector<std::string> Peers::chosenOf(std::string_view zone, std::string_view duty, size_t count) const
+{
+    auto nodes = nodesOf(zone);
+    if (zone != m_context.settings.zone)
+        std::erase_if(nodes, [this](const DutyNode& node) { return node.address == self().address; });
+    return chooseNodes(nodes, duty, count);
+}
+
+std::vector<std::string> Peers::otherZones() const
+{
+    std::set<std::string> zones;
+    forEachAlive([&](const PeerDigest& digest) {
+        if (digest.zone != m_context.settings.zone)
+            zones.insert(digest.zone);
+    });
+    return { zones.begin(), zones.end() };
+}
+
+bool Peers::callsAllEachRound() const { return m_peers.size() <= peersPerRound; }
+
 // Those of the own zone; none if this node is one of them, unless the store turns it away.
 std::vector<std::string> Peers::hostReaders(bool isTurnedAway) const
 {
@@ -250,12 +276,7 @@
     std::erase(readers, self);
     if (!isTurnedAway)
         return readers;
-    std::set<std::string> zones;
-    for (const auto& [address, peer] : m_peers) {
-        if (isAlive(peer) && peer.digest.zone != m_context.settings.zone)
-            zones.insert(peer.digest.zone);
-    }
-    for (const std::string& zone : zones) {
+    for (const std::string& zone : otherZones()) {
         auto nodes = nodesOf(zone);
         std::erase_if(nodes, [&](const DutyNode& node) { return node.address == self; });
         std::ranges::move(chooseNodes(nodes, readHostsDuty, readersPerZone), std::back_inserter(readers));
@@ -270,8 +291,11 @@
         if (peer == m_peers.end() || m_context.now() - peer->second.readFailedAt < readAgainAfter)
             continue;
         auto batch = co_await readHostsAt(reader, from);
-        if (batch && batch->age <= longestReaderAge)
+        if (batch && batch->age <= longestReaderAge) {
+            m_catchUp.heard(reader, true, batch->configVersion, m_context.now());
+            askForNewerConfig();
             co_return batch;
+        }
         peer = m_peers.find(reader);
         if (peer != m_peers.end())
             peer->second.readFailedAt = m_context.now();
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -35,8 +35,16 @@
     // Gives the records that readHosts() of other nodes asks for.
     using FeedHosts = std::function<std::optional<RecordBatch>(uint64_t from)>;
     void serveHosts(FeedHosts feed) { m_feedHosts = std::move(feed); }
+    // While this holds the store does not bring configurations, so that no ask for one waits for it.
+    void learnConfigsWhile(std::function<bool()> holds) { m_learnsConfigs = std::move(holds); }
     // Whether this node is one of so many that take on a duty for all.
     bool isChosen(std::string_view duty, size_t count) const;
+    // The nodes of a zone that take on a duty for it, as this node sees it.
+    std::vector<std::string> chosenOf(std::string_view zone, std::string_view duty, size_t count) const;
+    // Those that any live node is of.
+    std::vector<std::string> otherZones() const;
+    // Whether digests go to all peers in each round, so that nothing told by them is old.
+    bool callsAllEachRound() const;
     // Whether this node has about as much of a core as any that is alive.
     bool isStrongNode() const;
 
@@ -76,6 +84,7 @@
     uint64_t configVersion() const;
     // What is told to this peer, given by its address.
     PeerDigest ownDigest(std::string_view reader, bool isAnswer);
+    void askForNewerConfig();
     asio::awaitable<void> askForConfig(std::string address);
     bool namesPeersTo(std::string_view reader);
     void take(PeerDigest);
@@ -93,6 +102,7 @@
     TakeConfig m_takeConfig;
     ConfigCatchUp m_catchUp;
     FeedHosts m_feedHosts;
+    std::function<bool()> m_learnsConfigs = [] { return false; };
     std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
 };
 
--- a/src/gateway/recordfeed.cpp
+++ b/src/gateway/recordfeed.cpp
@@ -74,8 +74,9 @@
             entry["bad"] = true;
         records.push_back(std::move(entry));
     }
-    auto bytes = json::to_cbor(json { { "records", std::move(records) }, { "next", batch.nextOffset },
-        { "age_ms", batch.age.count() }, { "served_ms", batch.storeServedFor.count() } });
+    auto bytes = json::to_cbor(
+        json { { "records", std::move(records) }, { "next", batch.nextOffset }, { "age_ms", batch.age.count() },
+            { "config", batch.configVersion }, { "served_ms", batch.storeServedFor.count() } });
     return { bytes.begin(), bytes.end() };
 }
 
@@ -86,6 +87,7 @@
         RecordBatch batch;
         batch.nextOffset = document.at("next").get<uint64_t>();
         batch.age = Milliseconds(document.at("age_ms").get<int64_t>());
+        batch.configVersion = document.value("config", uint64_t(0));
         batch.storeServedFor = Milliseconds(document.at("served_ms").get<int64_t>());
         for (const auto& entry : document.at("records")) {
             LogRecord record;
--- a/src/gateway/recordfeed.h
+++ b/src/gateway/recordfeed.h
@@ -16,6 +16,7 @@
     std::vector<LogRecord> records; // Those with news, of all from the offset that was asked for.
     uint64_t nextOffset = 0;
     Milliseconds age {}; // Since the reader last heard from the store.
+    uint64_t configVersion = 0; // That the reader has.
     Milliseconds storeServedFor {}; // Since the store began to serve the reader again: entries may have lapsed before.
 };
 
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -15,6 +15,8 @@
     constexpr Milliseconds firstBackOff { 100 };
     constexpr Milliseconds longestBackOff { 800 };
     constexpr Milliseconds notWantedPause { 200 };
+    // Peers are read every half second.
+    constexpr Milliseconds peerReadLasts { 1500 };
     // A node that the store turned away hears the rest from its peers meanwhile.
     constexpr Milliseconds tryStoreAgainAfter { 1000 };
     // One lost answer is no interruption.
@@ -54,6 +56,8 @@
 {
     for (;;) {
         if (!m_isWanted()) {
+            // What came meanwhile is of no use but for the newest.
+            m_isListed = false;
             co_await pause(notWantedPause);
             continue;
         }
@@ -120,6 +124,7 @@
     }
     m_health.answered();
     m_failures = 0;
+    m_peerReadAt.reset();
     auto& found = std::get<LogPage>(page);
     if (found.isGap) {
         m_isListed = false;
@@ -149,12 +154,15 @@
     auto batch = co_await m_readFromPeer(m_next, m_failures > 0);
     if (!batch)
         co_return false;
+    m_peerReadAt = m_context.now();
     m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
     // A node that becomes a reader hands on what it has from here on only.
     takeRecords(std::move(batch->records), batch->nextOffset);
     co_return true;
 }
 
+bool LogFollower::isReadByPeer() const { return m_peerReadAt && m_context.now() - *m_peerReadAt < peerReadLasts; }
+
 asio::awaitable<void> LogFollower::backOff()
 {
     auto longest = std::min(longestBackOff, firstBackOff * (1 << std::min(m_failures++, 4)));
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -62,6 +62,8 @@
     // Until the event loop ends.
     asio::awaitable<void> run();
     uint64_t nextOffset() const { return m_next; }
+    // Whether another node lately read the store for this one.
+    bool isReadByPeer() const;
 
 private:
     asio::awaitable<bool> listNewest();
@@ -82,6 +84,7 @@
     bool m_isListed = false;
     int m_failures = 0;
     MonotonicTime m_storeTriedAt {};
+    std::optional<MonotonicTime> m_peerReadAt; // Read through a peer, as the latest that succeeded.
 };
 
 } // namespace Kumquatpick
--- a/tests/fleet/configcatchup_test.cpp
+++ b/tests/fleet/configcatchup_test.cpp
@@ -21,7 +21,7 @@
     uint64_t own = 7;
     for (MonotonicTime now = start; now < start + Milliseconds(3000); now += Milliseconds(31)) {
         catchUp.heard("peer-" + std::to_string(random() % 59), false, 8, now);
-        auto peer = catchUp.beginAsk(own, now, random);
+        auto peer = catchUp.beginAsk(own, true, now, random);
         if (!peer)
             continue;
         ++asks;
@@ -36,12 +36,15 @@
     ConfigCatchUp catchUp;
     Random random(1);
     catchUp.heard("a", true, 8, start);
-    EXPECT_FALSE(catchUp.beginAsk(7, start + Milliseconds(200), random));
-    EXPECT_FALSE(catchUp.beginAsk(8, start + Milliseconds(500), random)) << "the store has brought it";
-    EXPECT_EQ(catchUp.beginAsk(7, start + Milliseconds(500), random), "a");
+    EXPECT_FALSE(catchUp.beginAsk(7, true, start + Milliseconds(200), random));
+    EXPECT_FALSE(catchUp.beginAsk(8, true, start + Milliseconds(500), random)) << "the store has brought it";
+    EXPECT_EQ(catchUp.beginAsk(7, true, start + Milliseconds(500), random), "a");
     ConfigCatchUp without;
     without.heard("a", true, 8, start);
-    EXPECT_EQ(without.beginAsk(0, start, random), "a") << "a node without any configuration serves nobody";
+    EXPECT_EQ(without.beginAsk(0, false, start, random), "a") << "a node without any configuration serves nobody";
+    ConfigCatchUp withReader;
+    withReader.heard("reader", true, 8, start);
+    EXPECT_EQ(withReader.beginAsk(7, false, start, random), "reader") << "another node reads the store for this one";
 }
 
 TEST(ConfigCatchUp, AsksOneAtATimeAndAnotherOneNext)
@@ -53,10 +56,10 @@
     std::set<std::string> asked;
     for (int i = 1; i <= 2; ++i) {
         MonotonicTime now = start + Milliseconds(500) * i;
-        auto peer = catchUp.beginAsk(7, now, random);
+        auto peer = catchUp.beginAsk(7, true, now, random);
         ASSERT_TRUE(peer);
         asked.insert(*peer);
-        EXPECT_FALSE(catchUp.beginAsk(7, now + Milliseconds(450), random)) << "an ask is under way";
+        EXPECT_FALSE(catchUp.beginAsk(7, true, now + Milliseconds(450), random)) << "an ask is under way";
         catchUp.askEnded();
     }
     EXPECT_EQ(asked.size(), 2u);
@@ -70,12 +73,12 @@
     catchUp.heard("silent", true, 9, start);
     for (int i = 0; i < 5; ++i)
         catchUp.heard("far-" + std::to_string(i), false, 9, start + Milliseconds(1700));
-    auto first = catchUp.beginAsk(7, start + Milliseconds(1800), random);
+    auto first = catchUp.beginAsk(7, true, start + Milliseconds(1800), random);
     ASSERT_TRUE(first);
     EXPECT_TRUE(first->starts_with("far-"));
     catchUp.askEnded();
     catchUp.heard("near", true, 9, start + Milliseconds(2300));
-    EXPECT_EQ(catchUp.beginAsk(7, start + Milliseconds(2400), random), "near");
+    EXPECT_EQ(catchUp.beginAsk(7, true, start + Milliseconds(2400), random), "near");
 }
 
 } // namespace Kumquatpick
--- /dev/null
+++ b/tests/fleet/loadboard_test.cpp
@@ -0,0 +1,46 @@
+#include "fleet/loadboard.h"
+
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+
+}
+
+TEST(LoadBoard, AddsUpTheOthersAlone)
+{
+    LoadBoard board;
+    board.nodeTold("a", { { "head-1", 3 } }, start);
+    board.nodeTold("b", { { "head-1", 2 }, { "head-2", 5 } }, start);
+    board.zoneTold("howrah", { { "head-2", 7 } }, start);
+    EXPECT_EQ(board.zoneTotal(start), (LoadsByHost { { "head-1", 5 }, { "head-2", 5 } }));
+    EXPECT_EQ(board.othersOf("a", start), (LoadsByHost { { "head-1", 2 }, { "head-2", 12 } }));
+    EXPECT_EQ(board.othersOf("stranger", start), (LoadsByHost { { "head-1", 5 }, { "head-2", 12 } }));
+}
+
+TEST(LoadBoard, TakesTheLatestWordOfANode)
+{
+    LoadBoard board;
+    board.nodeTold("a", { { "head-1", 3 } }, start);
+    board.nodeTold("a", {}, start + Milliseconds(200));
+    EXPECT_TRUE(board.zoneTotal(start + Milliseconds(200)).empty());
+    EXPECT_TRUE(board.isUsed(start + Milliseconds(200))) << "a node without calls is heard all the same";
+}
+
+// A node that ended, or a zone that is cut off, holds no places for ever.
+TEST(LoadBoard, ForgetsWhoFellSilent)
+{
+    LoadBoard board;
+    board.nodeTold("a", { { "head-1", 3 } }, start);
+    board.zoneTold("howrah", { { "head-2", 7 } }, start);
+    EXPECT_TRUE(board.heardOfZone("howrah", Milliseconds(150), start + Milliseconds(100)));
+    EXPECT_FALSE(board.heardOfZone("howrah", Milliseconds(150), start + Milliseconds(300)));
+    MonotonicTime later = start + Milliseconds(1100);
+    EXPECT_TRUE(board.othersOf("b", later).empty());
+    EXPECT_FALSE(board.isUsed(later));
+}
+
+} // namespace Kumquatpick
