Form replicas in other domains while one waits for a report; time a controller's plan

After a partition of 86 hosts 240 stood idle for two seconds: the best choice waited for a report of one of its hosts, and with it all others. Now that domain waits, and the others go on.

--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -219,9 +219,12 @@
     while (const Candidate* candidate = bestCandidate(input, view)) {
         if (input.loadsAreFree && loading >= firstPlanLoads * input.service.timing.concurrentLoads)
             return;
-        // A choice that waits for a report of one of its hosts is better than the next best one.
-        if (!awaitReports(input, candidate->members))
-            return;
+        // A choice that waits for a report of one of its hosts is better than the next best one of its domain. Other
+        // domains go on: after a partition of 86 hosts, 240 stood idle while the best choice waited each time.
+        if (!awaitReports(input, candidate->members)) {
+            view.candidates[candidate->members.front()->status.domain].clear();
+            continue;
+        }
         formReplica(input, view, *candidate, orders);
         loading += static_cast<uint32_t>(m_formations.back().coldMembers.size());
     }
--- a/src/tool/benchfamilies.cpp
+++ b/src/tool/benchfamilies.cpp
@@ -3,6 +3,7 @@
 #include "coordination/figures.h"
 #include "node/bench_membership.h"
 #include "policy/bench_placement_table.h"
+#include "tool/benchplanner.h"
 #include "tool/table.h"
 
 #include <fmt/format.h>
@@ -80,7 +81,7 @@
             milliseconds(figures.copySeconds), milliseconds(figures.reconcileSettledSeconds),
             milliseconds(figures.reconcileEmptySeconds), milliseconds(figures.reconcileDarkDomainSeconds) });
     }
-    return { table };
+    return { table, benchPlanner() };
 }
 
 std::string formatBench(std::span<const BenchTable> tables)
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -430,6 +430,23 @@
     EXPECT_GE(largeReplicas() - before, 12) << "one at a time makes four or five in this time";
 }
 
+// One host that gives no report of itself keeps its own domain waiting, and no other.
+TEST(ReplicaPlanner, FormsInOtherDomainsWhileOneWaitsForAReport)
+{
+    PlannerWorld world({ modelOf("large", 4) });
+    for (int i = 0; i < 12; ++i)
+        world.addHost("host-" + std::to_string(i), "domain-" + std::to_string(i % 3));
+    for (int i = 0; i < 12; ++i) {
+        Host used = *world.table.find("host-" + std::to_string(i));
+        used.status.stagedModels = { "large" };
+        world.table.listed(used, world.now);
+    }
+    world.loadsAreFree = false;
+    world.silentReports.insert("host-0"); // Of the first domain, so that it is the first choice.
+    world.run(Milliseconds(1000));
+    EXPECT_EQ(world.openReplicas().size(), 2u);
+}
+
 // Nineteen hosts: two replicas of eight and three spares. A lost member's place is taken by a spare at once, as that
 // holds the same model; the seven that are left never become replicas of four.
 TEST(ReplicaPlanner, SparesMakeALargeReplicaWholeAgain)
