--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -306,6 +306,9 @@
         if (now - at < tellStandingStillFor)
             digest.standingStill.push_back(id);
     }
+    // Where loads are exchanged anyway, digests need not carry them: they were most of a digest between zones.
+    if (!m_loads.others())
+        digest.inFlight = m_context.balancer.inFlight();
     for (const auto& [model, demand] : m_context.demand)
         digest.waiting[model] = demand.waiting;
     digest.reported = m_controller.recentStatuses();
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -355,7 +355,6 @@
     digest.isStopping = m_context.isStopping;
     digest.anyCallSeen = m_context.anyCallSeen;
     digest.configVersion = configVersion();
-    digest.inFlight = m_context.balancer.inFlight();
     if (namesPeersTo(reader)) {
         for (const auto& [address, peer] : m_peers) {
             if (isAlive(peer))
--- a/src/tool/benchplanner.cpp
+++ b/src/tool/benchplanner.cpp
@@ -139,6 +139,7 @@
 {
     BenchTable table { "timings of this machine, one thread: a controller's plan",
         { "hosts", "domains", "first plan, longest ms", "nothing changed ms", "a host lost ms" }, {} };
+    table.rows.reserve(std::size(domainCounts));
     for (uint32_t domains : domainCounts)
         table.rows.push_back(rowOf(domains));
     return table;
--- a/tests/gateway/recordfeed_test.cpp
+++ b/tests/gateway/recordfeed_test.cpp
@@ -12,6 +12,7 @@
     std::vector<LogRecord> records(uint64_t from, int count, const std::string& value = "{}")
     {
         std::vector<LogRecord> result;
+        result.reserve(static_cast<size_t>(count));
         for (int i = 0; i < count; ++i)
             result.push_back({ "host-" + std::to_string(i), value, from + static_cast<uint64_t>(i), true });
         return result;
