--- a/src/tool/benchplanner.cpp
+++ b/src/tool/benchplanner.cpp
@@ -122,7 +122,9 @@
             longest = std::max(longest, bench.plan());
         bench.beginTraffic();
         std::vector<double> settled;
+        settled.reserve(settledTicks);
         std::vector<double> afterLoss;
+        afterLoss.reserve(settledTicks);
         for (int i = 0; i < settledTicks; ++i)
             settled.push_back(bench.plan());
         for (int i = 0; i < settledTicks; ++i) {
