Part the list of hosts from the gateway's file; forget waiting entries when the list is read anew

An entry whose service the configuration lacks waits for a later one. A listing brings all entries again, so those that waited go with it: one that was dropped meanwhile would have come back.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -23,8 +23,8 @@
     constexpr Milliseconds avoidFailed { 400 };
     constexpr double mostFailures = 6;
     // A target that refused as full has a queue of several seconds; each further refusal in a row doubles the time.
-    // Kept in the choice as if it were empty, since what the others have there is seconds old, a full or closed replica
-    // drew up to 400 of a node's calls in half a minute.
+    // Kept in the choice as if it were empty, since what the others have there is old, single replicas drew up to 400
+    // refusals in half a minute.
     constexpr Milliseconds avoidFull { 150 };
     constexpr int mostDoublings = 3;
     constexpr double failureFade = 0.5; // A success halves what is held against a target.
--- /dev/null
+++ b/src/gateway/gatewayhosts.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gateway.h"
+
+#include <nlohmann/json.hpp>
+
+// Of the gateway: what it believes of the backend servers by the list that it follows.
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Hosts write their entries every 1.2 s, and the list is up to 0.8 s behind.
+    constexpr Milliseconds entriesBackAfter { 2200 };
+    // A host whose entry another writer spoilt writes its own within 1.2 s; a leaving one may get work for two seconds.
+    constexpr Milliseconds ownEntryBackAfter { 1300 };
+    constexpr size_t mostUnreadableKept = 1000; // Keys; what is more is not logged.
+    constexpr std::chrono::seconds addressesKept { 60 };
+
+}
+
+LogFollower::Handlers Gateway::hostHandlers()
+{
+    return { [this] {
+                m_listing.clear();
+                m_hostsWithoutService.clear(); // All entries come again.
+            },
+        [this](const LogRecord& record) {
+            m_listing.insert(record.key);
+            return takeHost(record);
+        },
+        [this] { dropUnlistedHosts(); }, [this] { m_context.hosts.listWasRead(m_context.now()); } };
+}
+
+// False if the entry says what was known.
+bool Gateway::takeHost(const LogRecord& record)
+{
+    LoopTime::Section section(m_context.loopTime, LoopPart::List);
+    if (record.isReadable && !record.value) {
+        m_unreadableHosts.erase(record.key);
+        m_hostsWithoutService.erase(record.key);
+        dropHost(record.key);
+        return true;
+    }
+    auto host = record.isReadable
+        ? m_context.platform.host(record.key, *record.value)
+        : Settled<Host>(Error { ErrorCode::Malformed, Step::MembershipRead, "store", "bytes" });
+    if (auto* error = std::get_if<Error>(&host)) {
+        noteUnreadable(record.key, *error);
+        return true;
+    }
+    return takeEntry(record.key, std::get<Host>(std::move(host)));
+}
+
+bool Gateway::takeEntry(const std::string& key, Host host)
+{
+    bool isOfNoService = m_context.routes && !m_context.routes->config().service(host.service);
+    if (isOfNoService) {
+        noteUnreadable(key,
+            { ErrorCode::Malformed, Step::MembershipRead, "store",
+                "the configuration has no service " + host.service });
+        if (m_hostsWithoutService.size() < mostUnreadableKept)
+            m_hostsWithoutService.insert_or_assign(key, std::move(host));
+        return true;
+    }
+    // One that was about to be dropped stays: that is news to nodes that read on here.
+    bool isBack = m_dropsDue.erase(key) > 0;
+    isBack = m_unreadableHosts.erase(key) > 0 || isBack;
+    m_hostsWithoutService.erase(key);
+    const Host* known = m_context.hosts.find(host.id);
+    if (!known || known->draining != host.draining)
+        m_context.log.write("host_listed",
+            { { "host", host.id }, { "service", host.service }, { "draining", host.draining }, { "zone", host.zone },
+                { "domain", host.status.domain } });
+    return m_context.hosts.listed(std::move(host), m_context.now()) || isBack;
+}
+
+void Gateway::takeWaitingEntries()
+{
+    auto waiting = std::move(m_hostsWithoutService);
+    m_hostsWithoutService.clear();
+    for (auto& [key, host] : waiting)
+        takeEntry(key, std::move(host));
+}
+
+// It names no host to use. One that is listed under the key goes, unless it writes its own entry again in time: its
+// next heartbeat is due within that.
+void Gateway::noteUnreadable(const std::string& key, const Error& problem)
+{
+    if (m_unreadableHosts.size() < mostUnreadableKept && m_unreadableHosts.insert(key).second)
+        m_context.log.write("host_unreadable", { { "host", key }, { "problem", describe(problem) } });
+    if (m_context.hosts.findByName(key))
+        m_dropsDue.try_emplace(key, m_context.now() + ownEntryBackAfter);
+}
+
+void Gateway::dropUnlistedHosts()
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        if (!m_listing.contains(hostName(id)))
+            gone.emplace_back(hostName(id));
+    }
+    for (const std::string& name : gone)
+        dropHost(name);
+    m_context.hostsListed = true;
+}
+
+// Entries that lapse while the store is away come back soon after it, if their hosts live.
+void Gateway::dropHost(const std::string& name)
+{
+    const Host* host = m_context.hosts.findByName(name);
+    if (!host)
+        return;
+    MonotonicTime entriesAreBack = m_health.servesSince() + entriesBackAfter;
+    if (m_context.now() < entriesAreBack) {
+        m_dropsDue.try_emplace(name, entriesAreBack);
+        return;
+    }
+    m_context.log.write("host_unlisted", { { "host", host->id } });
+    m_context.hosts.unlisted(std::string(host->id));
+}
+
+void Gateway::dropDueHosts()
+{
+    std::vector<std::string> due;
+    for (const auto& [name, at] : m_dropsDue) {
+        if (at <= m_context.now())
+            due.push_back(name);
+    }
+    for (const std::string& name : due) {
+        m_dropsDue.erase(name);
+        dropHost(name);
+    }
+}
+
+void Gateway::rememberAddresses()
+{
+    MonotonicTime now = m_context.now();
+    for (const auto& [id, host] : m_context.hosts.hosts())
+        m_context.hostAddresses.insert_or_assign(host.address, now);
+    std::erase_if(m_context.hostAddresses, [&](const auto& entry) { return now - entry.second > addressesKept; });
+}
+
+} // namespace Kumquatpick
