Ask for loads in one place, and log each peer that gives none

Telling the own zone and asking another one had the same exchange written twice, and the second dropped its error without a line. One function does both now and logs the peer, whose loads were asked and the problem. No policy changes.

--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -157,8 +157,8 @@
     uint64_t m_firstEpoch; // Earlier ones are of earlier controllers.
     uint64_t m_nextEpoch;
     std::vector<Formation> m_formations;
-    std::set<std::string, std::less<>> m_forming; // Hosts of those, and their epochs.
-    std::set<uint64_t> m_formingEpochs;
+    std::set<std::string, std::less<>> m_forming; // Hosts of the formations.
+    std::set<uint64_t> m_formingEpochs; // Of the formations.
     std::map<ReplicaKey, Watch> m_watches;
     ModelStaging m_staging;
     OrderCounts m_orderCounts;
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -87,28 +87,33 @@
     }
 }
 
-asio::awaitable<Settled<HttpResponse>> LoadExchange::call(
-    const std::string& peer, const char* field, std::string_view name, const LoadsByHost& loads)
+// The loads that the peer tells in return; a peer that gives none is left alone for a while.
+asio::awaitable<std::optional<LoadsByHost>> LoadExchange::ask(
+    std::string peer, const char* field, std::string name, LoadsByHost loads)
 {
     auto address = settle([&] { return Address::parse(peer); });
     HttpRequest request(http::verb::post, target, 11);
     request.body() = encodeLoads(field, name, loads);
     request.prepare_payload();
-    co_return co_await m_context.pool.exchange(
-        std::get<Address>(address), std::move(request), callTimeout, Step::Gossip);
+    auto answer
+        = co_await m_context.pool.exchange(std::get<Address>(address), std::move(request), callTimeout, Step::Gossip);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
+    if (told)
+        co_return std::move(told->loads);
+    m_failedAt[peer] = m_context.now();
+    m_context.log.write("loads_not_heard",
+        { { "peer", peer }, { "of", field },
+            { "problem", response ? "an answer that can't be read" : describe(std::get<Error>(answer)) } });
+    co_return std::nullopt;
 }
 
 asio::awaitable<void> LoadExchange::tell(std::string peer)
 {
-    auto answer = co_await call(peer, "node", self(), m_context.balancer.inFlight());
-    auto* response = std::get_if<HttpResponse>(&answer);
-    auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
-    if (!told) {
-        m_failedAt[peer] = m_context.now();
-        m_context.log.write("loads_not_heard", { { "peer", peer } });
+    auto loads = co_await ask(std::move(peer), "node", self(), m_context.balancer.inFlight());
+    if (!loads)
         co_return;
-    }
-    m_others = std::move(told->loads);
+    m_others = std::move(*loads);
     m_heardAt = m_context.now();
 }
 
@@ -129,14 +134,10 @@
 
 asio::awaitable<void> LoadExchange::askZone(std::string zone, std::string peer)
 {
-    auto answer = co_await call(peer, "zone", m_context.settings.zone, m_board.zoneTotal(m_context.now()));
+    auto loads = co_await ask(std::move(peer), "zone", m_context.settings.zone, m_board.zoneTotal(m_context.now()));
     m_asking.erase(zone);
-    auto* response = std::get_if<HttpResponse>(&answer);
-    auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
-    if (told)
-        m_board.zoneTold(zone, std::move(told->loads), m_context.now());
-    else
-        m_failedAt[peer] = m_context.now();
+    if (loads)
+        m_board.zoneTold(zone, std::move(*loads), m_context.now());
 }
 
 HttpResponse LoadExchange::answer(const HttpRequest& request)
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -28,8 +28,7 @@
 private:
     asio::awaitable<void> tell(std::string peer);
     asio::awaitable<void> askZone(std::string zone, std::string peer);
-    asio::awaitable<Settled<HttpResponse>> call(
-        const std::string& peer, const char* field, std::string_view name, const LoadsByHost&);
+    asio::awaitable<std::optional<LoadsByHost>> ask(std::string peer, const char* field, std::string name, LoadsByHost);
     void askOtherZones();
     std::string self() const;
 
