Say of each failed read of the store which log it was of and how long it waited

In an outage of the store the nodes fell 3 s behind the operators' configuration, and no line told which read had waited for what: failed reads were one number for three logs. Now a line for each (store_read_failed: log, waited_ms, how many-th in a row, problem), a count by log, and the age of what a node knows of the configuration (config_age_seconds, age_ms of config_adopted). No change of logic.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,10 +35,11 @@
     constexpr int staleAnswerLifetimes = 3;
     constexpr Milliseconds stopMargin { 500 };
 
-    void logConfig(GatewayContext& context, std::string_view source)
+    void logConfig(GatewayContext& context, std::string_view source, MonotonicTime::duration age)
     {
         context.log.write("config_adopted",
             { { "version", context.routes->version() }, { "source", source },
+                { "age_ms", std::chrono::round<Milliseconds>(age).count() },
                 { "routes", context.routes->config().routes.size() },
                 { "teams", context.routes->config().teams.size() } });
     }
@@ -165,7 +166,7 @@
         return;
     m_context.routes = std::make_shared<const RouteTable>(std::move(read));
     m_context.configText = text;
-    logConfig(m_context, source);
+    logConfig(m_context, source, configAge());
     takeWaitingEntries();
 }
 
@@ -257,12 +258,22 @@
 {
     Metrics& metrics = m_context.metrics;
     metrics.set("loop_longest_pause_seconds", toSeconds(m_longestPause));
+    metrics.set("config_age_seconds", toSeconds(configAge()));
     metrics.set("calls_in_flight", static_cast<double>(m_context.calls.size()));
     for (size_t i = 0; i < loopPartNames.size(); ++i)
         metrics.set(fmt::format("loop_busy_seconds{{part=\"{}\"}}", loopPartNames[i]),
             toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i))));
 }
 
+// Since the store, or a node that reads it for this one, last told which version is the newest; zero if none did yet.
+MonotonicTime::duration Gateway::configAge() const
+{
+    auto heardAt = m_configFollower.heardAt();
+    if (m_hostFollower.isReadByPeer())
+        heardAt = std::max(heardAt, m_hostFollower.heardAt());
+    return heardAt ? m_context.now() - *heardAt : MonotonicTime::duration(0);
+}
+
 void Gateway::refreshOthersInFlight(int tick)
 {
     if (const LoadsByHost* others = m_loads.others())
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,7 @@
     void refreshOthersInFlight(int tick);
     void watchLoop(MonotonicTime now);
     void reportLoop();
+    MonotonicTime::duration configAge() const;
     void cutStandingStill();
     void updateDemand();
     asio::awaitable<void> stopGracefully();
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -3,6 +3,8 @@
 #include "gateway/asio.h"
 
 #include <algorithm>
+#include <array>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -21,6 +23,10 @@
     constexpr Milliseconds tryStoreAgainAfter { 1000 };
     // One lost answer is no interruption.
     constexpr int failuresOfInterruption = 2;
+    // In logs and metrics, by LogName.
+    constexpr std::array<const char*, 3> logNames { "config", "hosts", "control" };
+
+    const char* toString(LogName log) { return logNames[static_cast<size_t>(log)]; }
 
 }
 
@@ -36,7 +42,6 @@
 
 void StoreHealth::failed(const Error& error)
 {
-    m_context.metrics.count("store_failures_total");
     if (++m_failures < failuresOfInterruption || !m_isServing)
         return;
     m_isServing = false;
@@ -81,12 +86,13 @@
     std::vector<LogRecord> records;
     for (bool hasMore = true; hasMore;) {
         m_context.metrics.count("store_calls_total{kind=\"newest\"}");
+        MonotonicTime askedAt = m_context.now();
         auto answer = co_await m_context.pool.exchange(
             m_context.settings.store, m_context.platform.readNewest(m_log, after), listingTimeout, Step::LogRead);
         auto* response = std::get_if<HttpResponse>(&answer);
         auto page = response ? m_context.platform.newestPage(*response) : Settled<LogPage>(std::get<Error>(answer));
         if (auto* error = std::get_if<Error>(&page)) {
-            m_health.failed(*error);
+            readFailed(*error, askedAt);
             co_return false;
         }
         auto& found = std::get<LogPage>(page);
@@ -97,6 +103,7 @@
         std::ranges::move(found.records, std::back_inserter(records));
     }
     m_health.answered();
+    m_heardAt = m_context.now();
     std::ranges::sort(records, {}, &LogRecord::offset);
     m_handlers.beginListing();
     for (const LogRecord& record : records)
@@ -119,10 +126,11 @@
     auto page
         = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
     if (auto* error = std::get_if<Error>(&page)) {
-        m_health.failed(*error);
+        readFailed(*error, m_storeTriedAt);
         co_return false;
     }
     m_health.answered();
+    m_heardAt = m_context.now();
     m_failures = 0;
     m_peerReadAt.reset();
     auto& found = std::get<LogPage>(page);
@@ -138,6 +146,16 @@
     co_return true;
 }
 
+void LogFollower::readFailed(const Error& problem, MonotonicTime askedAt)
+{
+    auto waited = std::chrono::round<Milliseconds>(m_context.now() - askedAt);
+    m_context.metrics.count(fmt::format("store_failures_total{{log=\"{}\"}}", toString(m_log)));
+    m_context.log.write("store_read_failed",
+        { { "log", toString(m_log) }, { "next", m_next }, { "waited_ms", waited.count() },
+            { "failures", m_failures + 1 }, { "problem", describe(problem) } });
+    m_health.failed(problem);
+}
+
 // Those with news are left.
 std::vector<LogRecord> LogFollower::takeRecords(std::vector<LogRecord> records, uint64_t nextOffset)
 {
@@ -154,7 +172,7 @@
     auto batch = co_await m_readFromPeer(m_next, m_failures > 0);
     if (!batch)
         co_return false;
-    m_peerReadAt = m_context.now();
+    m_peerReadAt = m_heardAt = m_context.now();
     m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
     // A node that becomes a reader hands on what it has from here on only.
     takeRecords(std::move(batch->records), batch->nextOffset);
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -64,12 +64,15 @@
     uint64_t nextOffset() const { return m_next; }
     // Whether another node lately read the store for this one.
     bool isReadByPeer() const;
+    // When the log was last read to its end, here or by that node; nothing before the first time.
+    std::optional<MonotonicTime> heardAt() const { return m_heardAt; }
 
 private:
     asio::awaitable<bool> listNewest();
     asio::awaitable<bool> readOn();
     asio::awaitable<bool> readFromPeer();
     std::vector<LogRecord> takeRecords(std::vector<LogRecord>, uint64_t nextOffset);
+    void readFailed(const Error&, MonotonicTime askedAt);
     asio::awaitable<void> backOff();
 
     GatewayContext& m_context;
@@ -84,6 +87,7 @@
     bool m_isListed = false;
     int m_failures = 0;
     MonotonicTime m_storeTriedAt {};
+    std::optional<MonotonicTime> m_heardAt;
     std::optional<MonotonicTime> m_peerReadAt; // Read through a peer, as the latest that succeeded.
 };
 
