Part the terms of a read of the store from the follower that makes it

LogReads says for how long a read may wait at the store, when it is given up and how long to pause after one that failed, without input or output, so that the decision can be played in event time. The same values as before; no change of behaviour.

--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -11,11 +11,7 @@
 
 namespace {
 
-    // On top of what the store may hold a read: a few of its usual answers, also when it is slow.
-    constexpr Milliseconds answerTimeout { 700 };
     constexpr Milliseconds listingTimeout { 1500 };
-    constexpr Milliseconds firstBackOff { 100 };
-    constexpr Milliseconds longestBackOff { 800 };
     constexpr Milliseconds notWantedPause { 200 };
     // Peers are read every half second.
     constexpr Milliseconds peerReadLasts { 1500 };
@@ -54,6 +50,7 @@
     , m_log(log)
     , m_pace(pace)
     , m_handlers(std::move(handlers))
+    , m_reads(pace.wait)
 {
 }
 
@@ -67,12 +64,12 @@
             continue;
         }
         bool isListing = m_pace.isKeyed && !m_isListed;
-        bool isStoreDue = m_failures > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
+        bool isStoreDue = m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
         bool isDone = !isListing && !isStoreDue && co_await readFromPeer();
         if (!isDone)
             isDone = isListing ? co_await listNewest() : co_await readOn();
         if (!isDone)
-            co_await backOff();
+            co_await pause(m_reads.failed(m_context.draw()));
         else if (m_pace.pauseAfter.count() > 0)
             co_await pause(m_pace.pauseAfter);
     }
@@ -112,7 +109,7 @@
     m_next = *end;
     m_feed.restart(m_next, m_context.now());
     m_isListed = true;
-    m_failures = 0;
+    m_reads.answered();
     co_return true;
 }
 
@@ -120,8 +117,9 @@
 {
     m_context.metrics.count("store_calls_total{kind=\"read\"}");
     m_storeTriedAt = m_context.now();
-    auto answer = co_await m_context.pool.exchange(m_context.settings.store,
-        m_context.platform.readLog(m_log, m_next, m_pace.wait), m_pace.wait + answerTimeout, Step::LogRead);
+    ReadTerms terms = m_reads.next();
+    auto answer = co_await m_context.pool.exchange(
+        m_context.settings.store, m_context.platform.readLog(m_log, m_next, terms.hold), terms.patience, Step::LogRead);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto page
         = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
@@ -131,7 +129,7 @@
     }
     m_health.answered();
     m_heardAt = m_context.now();
-    m_failures = 0;
+    m_reads.answered();
     m_peerReadAt.reset();
     auto& found = std::get<LogPage>(page);
     if (found.isGap) {
@@ -152,7 +150,7 @@
     m_context.metrics.count(fmt::format("store_failures_total{{log=\"{}\"}}", toString(m_log)));
     m_context.log.write("store_read_failed",
         { { "log", toString(m_log) }, { "next", m_next }, { "waited_ms", waited.count() },
-            { "failures", m_failures + 1 }, { "problem", describe(problem) } });
+            { "failures", m_reads.failures() + 1 }, { "problem", describe(problem) } });
     m_health.failed(problem);
 }
 
@@ -169,7 +167,7 @@
 {
     if (!m_readFromPeer)
         co_return false;
-    auto batch = co_await m_readFromPeer(m_next, m_failures > 0);
+    auto batch = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
     if (!batch)
         co_return false;
     m_peerReadAt = m_heardAt = m_context.now();
@@ -181,10 +179,4 @@
 
 bool LogFollower::isReadByPeer() const { return m_peerReadAt && m_context.now() - *m_peerReadAt < peerReadLasts; }
 
-asio::awaitable<void> LogFollower::backOff()
-{
-    auto longest = std::min(longestBackOff, firstBackOff * (1 << std::min(m_failures++, 4)));
-    co_await pause(std::chrono::duration_cast<Milliseconds>(longest * (0.5 + 0.5 * m_context.draw())));
-}
-
 } // namespace Kumquatpick
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/logreads.h"
 #include "gateway/context.h"
 #include "gateway/recordfeed.h"
 
@@ -73,7 +74,6 @@
     asio::awaitable<bool> readFromPeer();
     std::vector<LogRecord> takeRecords(std::vector<LogRecord>, uint64_t nextOffset);
     void readFailed(const Error&, MonotonicTime askedAt);
-    asio::awaitable<void> backOff();
 
     GatewayContext& m_context;
     StoreHealth& m_health;
@@ -85,7 +85,7 @@
     RecordFeed m_feed;
     uint64_t m_next = 0;
     bool m_isListed = false;
-    int m_failures = 0;
+    LogReads m_reads;
     MonotonicTime m_storeTriedAt {};
     std::optional<MonotonicTime> m_heardAt;
     std::optional<MonotonicTime> m_peerReadAt; // Read through a peer, as the latest that succeeded.
