Add failing tests of changes that are accepted after the store was silent

Callers were served by versions of the configuration that had been replaced over two seconds before; the store had been silent for 6 s and had served every call for 3 s since.

--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -317,6 +317,21 @@
     EXPECT_TRUE(answers());
 }
 
+// Callers were served by old versions of the configuration, over two seconds after the store had accepted newer ones.
+// The store had been silent for 6 s and had served every call for 3 s since.
+TEST_F(GatewayTest, HasAVersionInTimeAfterTheStoreWasSilent)
+{
+    startServing(0, 1);
+    publish(2, { "key-2" });
+    ASSERT_TRUE(eventually([&] { return status("/again/x", "key-2") == 200; }));
+    m_store.isSilent = true;
+    // The one that waited there, and the next.
+    ASSERT_TRUE(eventually([&] { return m_store.lostReads("keyed.op") == 2; }));
+    m_store.isSilent = false;
+    publish(3, { "key-3" });
+    EXPECT_TRUE(eventually([&] { return status("/again/x", "key-3") == 200; }, Milliseconds(2000)));
+}
+
 // The store is away for longer than a lease, and nobody else can have claimed it: what is lost meanwhile is replaced.
 TEST_F(GatewayTest, ReplacesALostReplicaWhileTheStoreIsAway)
 {
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -13,6 +13,8 @@
     using namespace std::chrono_literals;
 
     constexpr time_t idleSeconds = 1;
+    constexpr auto lostCallLasts = 5s; // Longer than the gateway waits for any answer of the store.
+    constexpr size_t storeThreads = 64; // Lost calls hold theirs.
     constexpr auto orderDelay = 1500ms; // Longer than the gateway waits for an order's answer.
 
     void writeJson(httplib::Response& response, int status, const json& body)
@@ -90,8 +92,13 @@
 
 StandinStore::StandinStore()
 {
+    m_http.new_task_queue = [] { return new httplib::ThreadPool(storeThreads); };
     serveAt(m_http);
     m_http.set_pre_routing_handler([this](const auto& request, auto& response) {
+        if (isSilent) {
+            lose(request, response);
+            return httplib::Server::HandlerResponse::Handled;
+        }
         if (!isDown)
             return httplib::Server::HandlerResponse::Unhandled;
         refusedAppends += request.path == "/log-append" ? 1 : 0;
@@ -101,6 +108,31 @@
     start();
 }
 
+StandinStore::~StandinStore()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isEnding = true;
+    }
+    m_ending.notify_all();
+    stop();
+}
+
+int StandinStore::lostReads(const std::string& topic)
+{
+    std::lock_guard lock(m_mutex);
+    return m_lostReads[topic];
+}
+
+void StandinStore::lose(const httplib::Request& request, httplib::Response& response)
+{
+    std::unique_lock lock(m_mutex);
+    m_lostReads[request.get_param_value("topic")] += request.path == "/log-read" ? 1 : 0;
+    m_ending.wait_for(lock, lostCallLasts, [this] { return m_isEnding; });
+    response.status = 503;
+    response.set_header("Connection", "close");
+}
+
 void StandinStore::put(const std::string& topic, const std::string& key, const std::string& value)
 {
     std::lock_guard lock(m_mutex);
@@ -137,6 +169,8 @@
     auto until
         = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoi(request.get_param_value("waitMs")));
     for (;; std::this_thread::sleep_for(5ms)) {
+        if (isSilent)
+            return lose(request, response);
         std::lock_guard lock(m_mutex);
         const Topic& topic = m_topics[request.get_param_value("topic")];
         m_readFrom[request.get_param_value("topic")] = from;
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -40,11 +41,15 @@
 class StandinStore : public StandinServer {
 public:
     StandinStore();
-    ~StandinStore() override { stop(); }
+    ~StandinStore() override;
 
     void put(const std::string& topic, const std::string& key, const std::string& value);
     // Whether a reader has asked for what comes after the topic's last record, so it has taken all of them.
     bool isReadToItsEnd(const std::string& topic);
+    // Takes calls and never answers them, nor those that wait at it when it falls silent.
+    std::atomic<bool> isSilent { false };
+    // Reads of this topic that it lost so.
+    int lostReads(const std::string& topic);
     // Does nothing and says so.
     std::atomic<bool> isDown { false };
     std::atomic<int> refusedAppends { 0 }; // While it was down.
@@ -60,9 +65,13 @@
     void append(const httplib::Request&, httplib::Response&);
     void read(const httplib::Request&, httplib::Response&);
     void newest(const httplib::Request&, httplib::Response&);
+    void lose(const httplib::Request&, httplib::Response&);
 
     std::mutex m_mutex;
+    std::condition_variable m_ending;
+    bool m_isEnding = false;
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, int> m_lostReads; // By topic.
     std::map<std::string, size_t> m_readFrom; // The latest offset asked for, by topic.
 };
 
