Hold no read of the store for longer than a follower can afford to lose

Callers were served by versions of the configuration that had been replaced over two seconds before, some three seconds after the store was back from a silence.

Cause: a follower's read of the configuration could wait at the store for 4 s and was given up after 4.7 s, more than twice the time in which a change must be in force. One that was sent shortly before the silence ended was lost with it and blinded its node for that long, whatever reads of the list of hosts learnt meanwhile; as the silence had cut all nodes off in one moment, they were blind together, and no peer had the text. Ruled out by the lines of each failed read: the pause between reads (0.1 s), nodes that another one reads for (they followed by themselves), texts that were not adopted.

Now the time in which a change must be in force is a setting (--config-within-ms, from the platform's bounds), and it bounds how long a read may be held and how long a follower pauses after failures, so that a reader loses at most three quarters of it; the rest is for handing the text on. After a failed read nothing is held until the store has answered again, for all three logs. As a long text over a slow link may take its time, only the head of an answer must come soon.

--- a/src/fleet/logreads.cpp
+++ b/src/fleet/logreads.cpp
@@ -6,19 +6,50 @@
 
 namespace {
 
-    // On top of what the store may hold a read: a few of its usual answers, also when it is slow.
+    // A few of the store's usual answers, also when it is slow.
     constexpr Milliseconds answerTimeout { 700 };
+    // What the read after a lost one takes, from a slow store.
+    constexpr Milliseconds slowAnswer { 200 };
+    // Of the time that news may take; the rest is for handing them on to nodes that do not read the store.
+    constexpr double readersShare = 0.75;
+    constexpr Milliseconds shortestHold { 100 };
     constexpr Milliseconds firstPause { 100 };
-    constexpr Milliseconds longestPause { 800 };
+    constexpr Milliseconds usualLongestPause { 800 };
     constexpr int mostDoublings = 4;
 
 }
 
-ReadTerms LogReads::next() const { return { m_longestHold, m_longestHold + answerTimeout }; }
+LogReads::LogReads(Milliseconds longestHold)
+    : LogReads(longestHold, usualLongestPause)
+{
+}
+
+LogReads::LogReads(Milliseconds longestHold, Milliseconds longestPause)
+    : m_longestHold(longestHold)
+    , m_longestPause(longestPause)
+{
+}
+
+// A lost read costs what it was held for and its time-out, or, after others that were lost, its time-out and the pause;
+// then comes one that is answered.
+LogReads LogReads::forNewsWithin(Milliseconds within)
+{
+    auto forReaders = std::chrono::duration_cast<Milliseconds>(within * readersShare);
+    Milliseconds spare = std::max(shortestHold, forReaders - answerTimeout - firstPause - slowAnswer);
+    return { spare, std::min(usualLongestPause, spare) };
+}
+
+ReadTerms LogReads::next() const
+{
+    Milliseconds hold = m_failures == 0 ? m_longestHold : Milliseconds(0);
+    return { hold, hold + answerTimeout };
+}
+
+Milliseconds LogReads::listingPatience() const { return answerTimeout; }
 
 Milliseconds LogReads::failed(double draw)
 {
-    auto longest = std::min(longestPause, firstPause * (1 << std::min(m_failures++, mostDoublings)));
+    auto longest = std::min(m_longestPause, firstPause * (1 << std::min(m_failures++, mostDoublings)));
     return std::chrono::duration_cast<Milliseconds>(longest * (0.5 + 0.5 * draw));
 }
 
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -93,7 +93,7 @@
 }
 
 asio::awaitable<Settled<HttpResponse>> ConnectionPool::exchange(
-    Address peer, HttpRequest request, Milliseconds timeout, Step step)
+    Address peer, HttpRequest request, Milliseconds timeout, Step step, Milliseconds bodyTimeout)
 {
     auto acquired = co_await acquire(peer, controlIdle, timeout);
     if (auto* error = std::get_if<Error>(&acquired))
@@ -107,7 +107,12 @@
     http::response_parser<http::string_body> parser;
     constexpr uint64_t largestAnswer = 64 << 20;
     parser.body_limit(largestAnswer);
-    auto [readError, read] = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
+    auto [readError, read] = co_await http::async_read_header(connection->stream, connection->buffer, parser, asTuple);
+    if (!readError) {
+        if (bodyTimeout.count() > 0)
+            connection->stream.expires_after(bodyTimeout);
+        std::tie(readError, read) = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
+    }
     if (readError) {
         auto code = readError == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::BrokenOff;
         co_return Error { code, step, peer.toString(), readError.message() };
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -38,8 +38,9 @@
     void closeIdle(MonotonicTime now);
 
     // One request and its whole answer. Fails with Unreachable or Refused if nothing was sent; else the peer may have
-    // acted.
-    asio::awaitable<Settled<HttpResponse>> exchange(Address, HttpRequest, Milliseconds timeout, Step);
+    // acted. A large body may take bodyTimeout longer than the head, so that a silent peer is seen soon all the same.
+    asio::awaitable<Settled<HttpResponse>> exchange(
+        Address, HttpRequest, Milliseconds timeout, Step, Milliseconds bodyTimeout = {});
 
     uint64_t opened() const { return m_opened; }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,11 +12,10 @@
 
 namespace {
 
-    // A configuration is rare and must be in force everywhere within two seconds: a read waits at the store for it.
-    // Where its connection falls silent meanwhile, peers tell of the version within half a second.
-    constexpr LogFollower::Pace configPace { Milliseconds(4000), Milliseconds(0) };
-    // Hosts write all the time; one read takes what came in this pause. A leaving host may get work for two seconds.
-    constexpr LogFollower::Pace hostPace { Milliseconds(1000), Milliseconds(400) };
+    // A leaving host may get work for two seconds.
+    constexpr Milliseconds longestHostHold { 1000 };
+    // Hosts write all the time; one read takes what came in this pause.
+    constexpr Milliseconds hostPause { 400 };
 
     constexpr Milliseconds keepUpPeriod { 50 };
     constexpr int slowTicks = 20; // Of that period, for what is done once a second.
@@ -56,8 +55,10 @@
     , m_loads(m_context, m_peers)
     , m_lease(m_context, m_health, m_peers)
     , m_controller(m_context, m_lease, m_peers)
-    , m_configFollower(m_context, m_health, LogName::OperatorsConfig, configPace, configHandlers())
-    , m_hostFollower(m_context, m_health, LogName::BackendServers, hostPace, hostHandlers())
+    , m_configFollower(m_context, m_health, LogName::OperatorsConfig,
+          { LogReads::forNewsWithin(settings.configWithin), Milliseconds(0) }, configHandlers())
+    , m_hostFollower(
+          m_context, m_health, LogName::BackendServers, { LogReads(longestHostHold), hostPause }, hostHandlers())
     , m_callers(io, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
     , m_readiness(io, [this](const HttpRequest& request) { return answerReadiness(request); })
     , m_entries(io, [this](const HttpRequest& request) { return answerEntries(request); })
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -34,7 +34,8 @@
     // Nodes that follow the log and may take over; each record of the holder wakes all that follow.
     constexpr size_t candidates = 3;
     constexpr const char* controlDuty = "control";
-    constexpr LogFollower::Pace controllerPace { Milliseconds(1500), Milliseconds(50), false };
+    constexpr Milliseconds longestHold { 1500 };
+    constexpr Milliseconds pauseBetweenReads { 50 };
 
 }
 
@@ -50,7 +51,7 @@
     : m_context(context)
     , m_health(health)
     , m_peers(peers)
-    , m_follower(context, health, LogName::Controller, controllerPace,
+    , m_follower(context, health, LogName::Controller, { LogReads(longestHold), pauseBetweenReads, false },
           { [] {}, [this](const LogRecord& record) { return take(record); }, [] {} })
     , m_self(lifeName(context.settings.name, context.incarnation))
     , m_seenAt(bootNow())
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -26,6 +26,7 @@
     std::string cpuShare; // Of one core, that this node may use; decimal. See cpuShareOrUsual().
 
     Milliseconds stopGrace { 8000 }; // From SIGTERM until the process is killed.
+    Milliseconds configWithin { 2000 }; // From its acceptance to its being in force here.
     Milliseconds entriesLifetime { 1000 }; // How long callers may use an answer.
     std::string retryRatio = "0.2"; // Of first sends; decimal.
     std::chrono::seconds retryWindow { 10 };
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-    constexpr Milliseconds listingTimeout { 1500 };
+    // What follows the head of an answer: many versions of a long text, over a link that callers use too.
+    constexpr Milliseconds bodyTimeout { 1500 };
     constexpr Milliseconds notWantedPause { 200 };
     // Peers are read every half second.
     constexpr Milliseconds peerReadLasts { 1500 };
@@ -50,7 +51,7 @@
     , m_log(log)
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_reads(pace.wait)
+    , m_reads(pace.reads)
 {
 }
 
@@ -84,8 +85,8 @@
     for (bool hasMore = true; hasMore;) {
         m_context.metrics.count("store_calls_total{kind=\"newest\"}");
         MonotonicTime askedAt = m_context.now();
-        auto answer = co_await m_context.pool.exchange(
-            m_context.settings.store, m_context.platform.readNewest(m_log, after), listingTimeout, Step::LogRead);
+        auto answer = co_await m_context.pool.exchange(m_context.settings.store,
+            m_context.platform.readNewest(m_log, after), m_reads.listingPatience(), Step::LogRead, bodyTimeout);
         auto* response = std::get_if<HttpResponse>(&answer);
         auto page = response ? m_context.platform.newestPage(*response) : Settled<LogPage>(std::get<Error>(answer));
         if (auto* error = std::get_if<Error>(&page)) {
@@ -100,7 +101,6 @@
         std::ranges::move(found.records, std::back_inserter(records));
     }
     m_health.answered();
-    m_heardAt = m_context.now();
     std::ranges::sort(records, {}, &LogRecord::offset);
     m_handlers.beginListing();
     for (const LogRecord& record : records)
@@ -109,6 +109,7 @@
     m_next = *end;
     m_feed.restart(m_next, m_context.now());
     m_isListed = true;
+    m_heardAt = m_context.now();
     m_reads.answered();
     co_return true;
 }
@@ -118,8 +119,8 @@
     m_context.metrics.count("store_calls_total{kind=\"read\"}");
     m_storeTriedAt = m_context.now();
     ReadTerms terms = m_reads.next();
-    auto answer = co_await m_context.pool.exchange(
-        m_context.settings.store, m_context.platform.readLog(m_log, m_next, terms.hold), terms.patience, Step::LogRead);
+    auto answer = co_await m_context.pool.exchange(m_context.settings.store,
+        m_context.platform.readLog(m_log, m_next, terms.hold), terms.patience, Step::LogRead, bodyTimeout);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto page
         = response ? m_context.platform.logPage(m_log, m_next, *response) : Settled<LogPage>(std::get<Error>(answer));
@@ -128,7 +129,6 @@
         co_return false;
     }
     m_health.answered();
-    m_heardAt = m_context.now();
     m_reads.answered();
     m_peerReadAt.reset();
     auto& found = std::get<LogPage>(page);
@@ -140,6 +140,7 @@
     }
     uint64_t from = m_next;
     auto news = takeRecords(std::move(found.records), found.nextOffset);
+    m_heardAt = m_context.now();
     m_feed.took(from, std::move(news), m_next, m_context.now());
     co_return true;
 }
@@ -170,10 +171,11 @@
     auto batch = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
     if (!batch)
         co_return false;
-    m_peerReadAt = m_heardAt = m_context.now();
+    m_peerReadAt = m_context.now();
     m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
     // A node that becomes a reader hands on what it has from here on only.
     takeRecords(std::move(batch->records), batch->nextOffset);
+    m_heardAt = m_context.now() - batch->age;
     co_return true;
 }
 
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -45,7 +45,7 @@
         std::function<void()> upToDate = [] {}; // All records that there are were read.
     };
     struct Pace {
-        Milliseconds wait; // How long the store may hold a read that finds nothing.
+        LogReads reads;
         Milliseconds pauseAfter; // Between reads, so that one read takes several records.
         bool isKeyed = true;
     };
--- a/tests/fleet/logreads_test.cpp
+++ b/tests/fleet/logreads_test.cpp
@@ -12,10 +12,10 @@
 
     constexpr MonotonicTime start { std::chrono::hours(1) };
     constexpr Milliseconds storeAnswersIn { 4 };
-    // In which a change must be in force at a node that is in touch with the store.
+    // In which a change must be in force at every node that is in touch with the store.
     constexpr Milliseconds newsWithin { 2000 };
-
-    LogReads readsOfConfig(Milliseconds) { return LogReads(Milliseconds(4000)); }
+    // By a node that follows the log to one that asks it for news some times a second.
+    constexpr Milliseconds handedOnIn { 450 };
 
     // While it lasts the store answers nobody, neither calls that come nor those that wait.
     struct Silence {
@@ -66,8 +66,12 @@
 }
 
 // Callers were served by old versions of the configuration, over two seconds after the store had accepted newer ones.
-// The store had been silent for 6 s and had served every call for 3 s since. Here it falls silent at each moment of a
-// read and for each time up to 12 s, and accepts a change as soon as it is back.
+// The store had been silent for 6 s and had served every call for 3 s since. Every node's read of the configuration,
+// which the store may hold for seconds, had been lost in the same moment, and so had the next one, sent shortly before
+// the store was back: it blinded its node for the 4.7 s until it was given up, while reads of the list of hosts were
+// answered. Each node's lines said so: two reads that waited for 4.70 s, with 0.1 s between them, and all versions in
+// one go after them. Here the store falls silent at each moment of a read and for each time up to 12 s, and accepts a
+// change as soon as it is back.
 TEST(LogReads, ReadEachRecordInTimeAfterASilenceOfAnyLength)
 {
     constexpr Milliseconds grain { 100 };
@@ -76,8 +80,9 @@
             Silence silence { start + begin, start + begin + length };
             std::vector<MonotonicTime> accepted { silence.until, silence.until + Milliseconds(300) };
             for (double draw : { 0.0, 1.0 }) {
-                Milliseconds delay = longestDelay({ readsOfConfig(newsWithin), draw }, accepted, { silence });
-                ASSERT_LE(delay, newsWithin) << "silent from " << begin.count() << " ms on for " << length.count();
+                Milliseconds delay = longestDelay({ LogReads::forNewsWithin(newsWithin), draw }, accepted, { silence });
+                ASSERT_LE(delay + handedOnIn, newsWithin)
+                    << "silent from " << begin.count() << " ms on for " << length.count();
             }
         }
     }
@@ -104,7 +109,7 @@
         silences.push_back(silence);
     }
     double draw = *rc::gen::inRange(0, 101) / 100.0;
-    RC_ASSERT(longestDelay({ readsOfConfig(within), draw }, accepted, silences) <= within);
+    RC_ASSERT(longestDelay({ LogReads::forNewsWithin(within), draw }, accepted, silences) <= within);
 }
 
 } // namespace Kumquatpick
