Ask a peer for a configuration in time also while changes follow each other

What callers could see: a node that the store turned away served by an old configuration for as long as changes followed each other within 0.3 s.

Cause: a node leaves the store 0.3 s to bring a version that peers tell of, and that time began anew with each newer version. Now it begins when a peer first tells of a newer version than the own, and anew only when a version has come here and is not the newest: that shows that the store brings them.

Test, changes each 0.2 s that the store does not bring: before, no ask in 4 s; after, one within 0.35 s. While the store brings each change within 0.1 s nobody is asked, before and after.

--- a/src/fleet/configcatchup.cpp
+++ b/src/fleet/configcatchup.cpp
@@ -20,16 +20,28 @@
     m_holders.insert_or_assign(std::string(peer), Holder { version, isOfOwnZone, now });
     if (version <= m_newest)
         return;
+    if (m_own >= m_newest)
+        m_behindSince = now;
     m_newest = version;
-    m_newestSince = now;
+}
+
+// A version that came shows that the store brings them, so it gets time for the next one. Newer ones that peers tell of
+// show nothing: they would put off the ask for as long as changes follow each other.
+void ConfigCatchUp::noteOwn(uint64_t version, MonotonicTime now)
+{
+    bool hasCome = m_own > 0 && version > m_own;
+    m_own = version;
+    if (hasCome && version < m_newest)
+        m_behindSince = now;
 }
 
 std::optional<std::string> ConfigCatchUp::beginAsk(
     uint64_t ownVersion, bool waitsForStore, MonotonicTime now, Random& random)
 {
+    noteOwn(ownVersion, now);
     std::erase_if(m_holders, [&](const auto& entry) { return now - entry.second.heardAt > holderLasts; });
     bool isTooSoon = m_askedAt && now - *m_askedAt < betweenAsks;
-    bool hadStoreTime = !waitsForStore || now - m_newestSince >= storeFirst;
+    bool hadStoreTime = !waitsForStore || now - m_behindSince >= storeFirst;
     if (m_isAsking || isTooSoon || !hadStoreTime || ownVersion >= m_newest)
         return std::nullopt;
     std::vector<std::string_view> near;
--- a/src/fleet/configcatchup.h
+++ b/src/fleet/configcatchup.h
@@ -25,6 +25,8 @@
     void askEnded();
 
 private:
+    void noteOwn(uint64_t version, MonotonicTime now);
+
     struct Holder {
         uint64_t version = 0;
         bool isOfOwnZone = false;
@@ -32,8 +34,9 @@
     };
 
     std::map<std::string, Holder, std::less<>> m_holders; // Peers by address.
-    uint64_t m_newest = 0;
-    MonotonicTime m_newestSince {}; // When a peer first told of it.
+    uint64_t m_newest = 0; // That a peer told of.
+    uint64_t m_own = 0; // Of this node, as last given.
+    MonotonicTime m_behindSince {}; // A peer told of a newer version then, or one came that is not the newest.
     std::optional<MonotonicTime> m_askedAt;
     std::string m_lastAsked;
     bool m_isAsking = false;
--- a/tests/fleet/configcatchup_test.cpp
+++ b/tests/fleet/configcatchup_test.cpp
@@ -47,6 +47,37 @@
     EXPECT_EQ(withReader.beginAsk(7, false, start, random), "reader") << "another node reads the store for this one";
 }
 
+// Each new version put off the ask by the time that the store is given to bring one: a node that the store had turned
+// away stayed behind for as long as changes followed each other within 0.3 s.
+TEST(ConfigCatchUp, AsksInTimeWhileChangesFollowEachOther)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    uint64_t version = 7;
+    std::optional<MonotonicTime> askedAt;
+    for (MonotonicTime now = start; !askedAt && now < start + Milliseconds(4000); now += Milliseconds(50)) {
+        if ((now - start) % Milliseconds(200) == MonotonicTime::duration(0))
+            catchUp.heard("a", true, ++version, now);
+        if (catchUp.beginAsk(7, true, now, random))
+            askedAt = now;
+    }
+    ASSERT_TRUE(askedAt);
+    EXPECT_LE(*askedAt - start, Milliseconds(350));
+}
+
+// The store keeps up with them: no text goes over the links twice.
+TEST(ConfigCatchUp, AsksNobodyWhileTheStoreBringsEachChange)
+{
+    ConfigCatchUp catchUp;
+    Random random(1);
+    for (uint64_t version = 8; version < 40; ++version) {
+        MonotonicTime accepted = start + Milliseconds(100) * static_cast<int>(version);
+        catchUp.heard("a", true, version, accepted);
+        for (Milliseconds later { 0 }; later < Milliseconds(100); later += Milliseconds(25))
+            EXPECT_FALSE(catchUp.beginAsk(version - 1, true, accepted + later, random));
+    }
+}
+
 TEST(ConfigCatchUp, AsksOneAtATimeAndAnotherOneNext)
 {
     ConfigCatchUp catchUp;
