--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -4,13 +4,6 @@
 #include "gateway/asio.h"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -23,40 +16,16 @@
     constexpr Milliseconds noPatienceGiven { 60'000 };
     // Refused sends cost a round trip each, and each counts as a repeat.
     constexpr uint32_t mostSends = 4;
-    // A host that is up accepts within a round trip. Nothing is sent before, so another host can be tried at once.
-    constexpr Milliseconds connectTimeout { 200 };
-    // A call that may not run twice goes over a connection that was used just now or is new: one that the backend
-    // server is about to close could take the call with it.
-    constexpr Milliseconds idleForOnce { 300 };
-    constexpr Milliseconds idleForRepeatable { 2500 };
-    // Answers to earlier requests that may still lie in a connection before one's own.
-    constexpr int mostForeignAnswers = 3;
-    constexpr uint64_t largestAnswer = 64 << 20;
-    constexpr size_t readBytes = 16 * 1024;
     // A broken stream waits for a place elsewhere about as long as its caller does between two events.
     constexpr Milliseconds resumeWait { 1500 };
     constexpr Milliseconds placePoll { 30 };
     constexpr uint32_t resumeQueueExtra = 12;
     // A caller that came back is refused for good if it finds no place.
     constexpr uint32_t returnQueueExtra = 2;
-    // An idempotent call to a plain service tries another server once this one took several times its target.
-    constexpr int patienceInTargets = 3;
-    constexpr Milliseconds leastTry { 200 };
     // Returns are spread over this time.
     constexpr Milliseconds earliestReturn { 400 };
     constexpr Milliseconds returnSpread { 900 };
 
-    // Of SendOutcome, for logs.
-    constexpr const char* sendOutcomeNames[] = { "answered", "not_run", "unusable", "broken", "caller_broken" };
-
-    // These promise that the request has not run; only who knows that may say so.
-    bool promisesNotRun(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
-
-    double milliseconds(MonotonicTime::duration duration)
-    {
-        return std::chrono::duration<double, std::milli>(duration).count();
-    }
-
 }
 
 CallForwarder::CallForwarder(GatewayContext& context, beast::tcp_stream& caller, Call call, bool keepAlive)
@@ -214,248 +183,6 @@
     return !m_hasArrived || m_context.retries.takeRetry(m_service, now);
 }
 
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendOnce()
-{
-    MonotonicTime begun = m_context.now();
-    if (m_sends++ == 0)
-        m_context.retries.firstSend(m_service, begun);
-    std::string hostId = m_hostId;
-    const Host* host = m_context.hosts.find(hostId);
-    if (!host)
-        co_return SendOutcome::NotRun;
-    m_inFlightBefore = m_context.balancer.inFlightAt(hostId);
-    m_context.balancer.started(hostId, begun);
-    m_active->hostId = hostId;
-    m_active->isStalled = false;
-    m_sendEnd = SendEnd::Failed;
-    m_mayReuseConnection = false;
-    uint64_t eventsBefore = m_events.events();
-
-    SendOutcome outcome = SendOutcome::NotRun;
-    auto acquired
-        = co_await m_context.pool.acquire(host->address, mayRepeat() ? idleForRepeatable : idleForOnce, connectTimeout);
-    m_hasArrived = std::holds_alternative<std::unique_ptr<PeerConnection>>(acquired);
-    if (!m_hasArrived) {
-        m_lastProblem = describe(std::get<Error>(acquired));
-        m_sendEnd = SendEnd::Unreachable;
-    } else {
-        auto connection = std::move(std::get<0>(acquired));
-        if (m_active->end == CallEnd::None) {
-            m_active->backend = &connection->stream;
-            outcome = co_await sendOver(*connection);
-            m_active->backend = nullptr;
-        }
-        if (outcome == SendOutcome::Answered || (outcome == SendOutcome::NotRun && m_mayReuseConnection))
-            m_context.pool.release(std::move(connection));
-    }
-    m_active->hostId.clear();
-    if (m_events.events() > eventsBefore)
-        m_context.balancer.writing(hostId, -1);
-    m_events.dropPartialEvent();
-    if (m_active->end != CallEnd::None)
-        m_sendEnd = SendEnd::Withdrawn;
-    else if (m_active->isStalled)
-        m_sendEnd = SendEnd::Stalled;
-    m_context.balancer.ended(hostId, m_sendEnd, m_context.now());
-    if (outcome != SendOutcome::NotRun)
-        ++m_runs;
-    if (outcome != SendOutcome::Answered) {
-        m_context.log.writeRoutine("send_ended",
-            { { "id", m_call.id }, { "host", hostId }, { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] },
-                { "stalled", m_active->isStalled }, { "problem", m_lastProblem }, { "events", m_events.events() },
-                { "ms", milliseconds(m_context.now() - begun) } });
-    }
-    co_return outcome;
-}
-
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendOver(PeerConnection& connection)
-{
-    Send send;
-    send.hostId = m_hostId;
-    send.team = m_team ? m_team->name : std::string();
-    send.resumeAfter = m_events.lastId();
-    send.patience = patienceLeft();
-    send.priority = priority();
-    HttpRequest request = m_context.platform.forward(m_call, send);
-
-    // A plain call that may be repeated does not wait for one slow server until its own time is up.
-    bool leavesSlowServer = m_route->idempotent && !m_route->streaming && m_runs + 1 < m_route->maxAttempts;
-    if (leavesSlowServer)
-        connection.stream.expires_after(std::max(leastTry, m_route->targetLatency * patienceInTargets));
-    else
-        connection.stream.expires_never();
-    auto [error, written] = co_await http::async_write(connection.stream, request, asTuple);
-    if (error) {
-        m_lastProblem = "write: " + error.message();
-        co_return SendOutcome::Broken;
-    }
-    co_return co_await readReply(connection);
-}
-
-// The head of this call's own answer. A late answer to an earlier request may lie before it.
-asio::awaitable<bool> CallForwarder::readOwnHead(
-    PeerConnection& connection, std::unique_ptr<BodyParser>& parser, Reply& reply)
-{
-    for (int i = 0; i < mostForeignAnswers; ++i) {
-        parser = std::make_unique<BodyParser>();
-        parser->body_limit(largestAnswer);
-        auto [error, read] = co_await http::async_read_header(connection.stream, connection.buffer, *parser, asTuple);
-        if (error) {
-            m_lastProblem = "head: " + error.message();
-            co_return false;
-        }
-        reply = m_context.platform.reply(parser->get());
-        if (reply.callId == m_call.id || (reply.callId.empty() && reply.notRun))
-            co_return true;
-        m_lastProblem = "another request's answer";
-        std::string ignored;
-        if (parser->need_eof() || !co_await readBody(connection, *parser, ignored))
-            co_return false;
-    }
-    co_return false;
-}
-
-asio::awaitable<bool> CallForwarder::readBody(PeerConnection& connection, BodyParser& parser, std::string& body)
-{
-    std::array<char, readBytes> bytes {};
-    while (!parser.is_done()) {
-        parser.get().body().data = bytes.data();
-        parser.get().body().size = bytes.size();
-        auto [error, read] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
-        body.append(bytes.data(), bytes.size() - parser.get().body().size);
-        if (error && error != http::error::need_buffer) {
-            m_lastProblem = "body: " + error.message();
-            co_return false;
-        }
-    }
-    co_return true;
-}
-
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::readReply(PeerConnection& connection)
-{
-    std::unique_ptr<BodyParser> parser;
-    Reply reply;
-    if (!co_await readOwnHead(connection, parser, reply))
-        co_return SendOutcome::Broken;
-    m_context.balancer.progressed(m_hostId, m_context.now());
-    bool isStream = m_route->streaming && reply.status == 200 && reply.isSigned && reply.isWhole;
-    if (isStream)
-        co_return co_await passStream(connection, *parser);
-
-    std::string body;
-    bool keepsConnection = parser->keep_alive();
-    bool isWhole = co_await readBody(connection, *parser, body);
-    if (reply.notRun) {
-        m_lastProblem = fmt::format("refused with {}", reply.status);
-        m_sendEnd = reply.isElsewhere ? SendEnd::NotServing : SendEnd::NotTaken;
-        m_mayReuseConnection = keepsConnection && isWhole;
-        co_return SendOutcome::NotRun;
-    }
-    if (!isWhole)
-        co_return SendOutcome::Broken;
-    ResponseHead head = parser->get().base();
-    SendOutcome outcome = co_await passWhole(head, reply, std::move(body));
-    if (outcome == SendOutcome::Answered && !keepsConnection) {
-        beast::error_code ignored;
-        connection.stream.socket().close(ignored);
-    }
-    co_return outcome;
-}
-
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::passWhole(
-    const ResponseHead& head, const Reply& reply, std::string body)
-{
-    bool isSuccess = reply.status >= 200 && reply.status < 300;
-    bool isUsable = reply.isWhole && !promisesNotRun(reply.status) && (!isSuccess || reply.isSigned);
-    if (!isUsable || (m_route->streaming && isSuccess)) {
-        m_lastProblem = fmt::format("an answer with status {} that can't be passed on", reply.status);
-        co_return SendOutcome::Unusable;
-    }
-    HttpResponse response;
-    static_cast<ResponseHead&>(response) = head;
-    m_context.platform.toCaller(response);
-    response.version(11);
-    response.body() = std::move(body);
-    if (!isSuccess && reply.status >= 500) {
-        m_lastProblem = fmt::format("the backend server failed it with {}", reply.status);
-        m_lastFailure = std::move(response);
-        co_return SendOutcome::Unusable;
-    }
-    m_sendEnd = SendEnd::Finished;
-    if (m_headPassed)
-        co_return SendOutcome::Unusable;
-    co_await answer(std::move(response));
-    co_return m_active->end == CallEnd::None ? SendOutcome::Answered : SendOutcome::CallerBroken;
-}
-
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::passStream(PeerConnection& connection, BodyParser& parser)
-{
-    std::array<char, readBytes> bytes {};
-    bool isWriting = false;
-    uint64_t eventsBefore = m_events.events();
-    while (!parser.is_done()) {
-        parser.get().body().data = bytes.data();
-        parser.get().body().size = bytes.size();
-        auto [error, read] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
-        size_t count = bytes.size() - parser.get().body().size;
-        if (count > 0)
-            m_context.balancer.progressed(m_hostId, m_context.now());
-        std::string events = m_events.take({ bytes.data(), count });
-        if (!isWriting && m_events.events() > eventsBefore) {
-            isWriting = true;
-            m_context.balancer.writing(m_hostId, 1);
-        }
-        if (!events.empty() && !co_await writeEvents(parser.get().base(), std::move(events)))
-            co_return SendOutcome::CallerBroken;
-        if (error && error != http::error::need_buffer) {
-            m_lastProblem = "stream: " + error.message();
-            co_return SendOutcome::Broken;
-        }
-    }
-    if (m_events.hasPartialEvent()) {
-        m_lastProblem = "stream: ended within an event";
-        co_return SendOutcome::Broken;
-    }
-    if (!m_headPassed && !co_await writeEvents(parser.get().base(), {}))
-        co_return SendOutcome::CallerBroken;
-    m_sendEnd = SendEnd::Finished;
-    auto [error, written] = co_await asio::async_write(m_caller, http::make_chunk_last(), asTuple);
-    if (!parser.keep_alive()) {
-        beast::error_code ignored;
-        connection.stream.socket().close(ignored);
-    }
-    co_return error ? SendOutcome::CallerBroken : SendOutcome::Answered;
-}
-
-// With the first events goes the head, that of the first replica also if another one goes on.
-asio::awaitable<bool> CallForwarder::writeEvents(const ResponseHead& head, std::string events)
-{
-    std::string text;
-    if (!m_headPassed) {
-        http::response<http::empty_body> response;
-        static_cast<ResponseHead&>(response) = head;
-        m_context.platform.toCaller(response);
-        response.version(11);
-        response.chunked(true);
-        if (!m_keepAlive || m_context.isStopping) {
-            m_keepAlive = false;
-            response.keep_alive(false);
-        }
-        http::response_serializer<http::empty_body> serializer(response);
-        auto [error, written] = co_await http::async_write_header(m_caller, serializer, asTuple);
-        m_headPassed = true;
-        m_active->answerBegun = true;
-        if (error)
-            co_return false;
-        m_firstEventAt = m_context.now();
-        m_context.metrics.observe("first_event_seconds", *m_firstEventAt - m_arrived);
-    }
-    if (events.empty())
-        co_return true;
-    auto [error, written] = co_await asio::async_write(m_caller, http::make_chunk(asio::buffer(events)), asTuple);
-    co_return !error;
-}
-
 asio::awaitable<void> CallForwarder::answer(HttpResponse response)
 {
     if (!m_keepAlive || m_context.isStopping) {
@@ -527,10 +254,10 @@
     m_context.metrics.observe("request_seconds", now - m_arrived);
     nlohmann::json fields { { "id", m_call.id }, { "route", route }, { "service", m_service },
         { "model", m_call.model }, { "outcome", outcome }, { "sends", m_sends }, { "runs", m_runs },
-        { "events", m_events.events() }, { "ms", milliseconds(now - m_arrived) },
+        { "events", m_events.events() }, { "ms", 1000 * toSeconds(now - m_arrived) },
         { "config", m_routes ? m_routes->version() : 0 } };
     if (m_firstEventAt)
-        fields["first_event_ms"] = milliseconds(*m_firstEventAt - m_arrived);
+        fields["first_event_ms"] = 1000 * toSeconds(*m_firstEventAt - m_arrived);
     if (!reason.empty())
         fields["reason"] = reason;
     if (!m_hostId.empty()) {
