--- /dev/null
+++ b/tests/gateway/connectionpool_test.cpp
@@ -0,0 +1,82 @@
+#include "gateway/connectionpool.h"
+
+#include "gateway/asio.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr Milliseconds timeout { 100 };
+    constexpr Milliseconds longAfterIt { 300 };
+    constexpr Milliseconds bodyTimeout { 3000 };
+
+    // Answers one request: the head after one pause, the body after another one.
+    struct SlowServer {
+        Milliseconds beforeHead {};
+        Milliseconds beforeBody {};
+
+        asio::awaitable<void> serve(asio::ip::tcp::acceptor& acceptor) const
+        {
+            auto [acceptError, socket] = co_await acceptor.async_accept(asTuple);
+            beast::flat_buffer buffer;
+            HttpRequest request;
+            co_await http::async_read(socket, buffer, request, asTuple);
+            co_await pause(beforeHead);
+            std::string_view head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(head), asTuple);
+            co_await pause(beforeBody);
+            std::string_view body = "text";
+            co_await asio::async_write(socket, asio::buffer(body), asTuple);
+        }
+    };
+
+    Settled<HttpResponse> exchangeWith(const SlowServer& server, Milliseconds forBody)
+    {
+        asio::io_context io;
+        asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+        Address address { "127.0.0.1", acceptor.local_endpoint().port() };
+        ConnectionPool pool(io.get_executor());
+        Settled<HttpResponse> result;
+        asio::co_spawn(io, server.serve(acceptor), asio::detached);
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                HttpRequest request(http::verb::get, "/", 11);
+                result = co_await pool.exchange(address, std::move(request), timeout, Step::LogRead, forBody);
+            },
+            asio::detached);
+        io.run();
+        return result;
+    }
+
+    std::optional<ErrorCode> errorOf(const Settled<HttpResponse>& result)
+    {
+        auto* error = std::get_if<Error>(&result);
+        return error ? std::optional(error->code) : std::nullopt;
+    }
+
+}
+
+// A long text over a slow link takes its time, and whoever says nothing at all is given up soon.
+TEST(ConnectionPool, OnlyTheHeadOfAnAnswerMustComeSoonIfItsBodyMayTakeLonger)
+{
+    auto slowBody = exchangeWith({ {}, longAfterIt }, bodyTimeout);
+    ASSERT_FALSE(errorOf(slowBody));
+    EXPECT_EQ(std::get<HttpResponse>(slowBody).body(), "text");
+    EXPECT_EQ(errorOf(exchangeWith({ longAfterIt, {} }, bodyTimeout)), ErrorCode::Timeout);
+}
+
+TEST(ConnectionPool, TheWholeAnswerMustComeSoonOtherwise)
+{
+    EXPECT_FALSE(errorOf(exchangeWith({}, {})));
+    EXPECT_EQ(errorOf(exchangeWith({ {}, longAfterIt }, {})), ErrorCode::Timeout);
+}
+
+} // namespace Kumquatpick
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -33,4 +33,19 @@
     }
 }
 
+TEST(GatewaySettings, RefusesATimeForConfigurationsThatNoReadCanKeep)
+{
+    std::vector<std::string> flags { "--name", "node-1", "--zone", "z1", "--caller-listen", "127.0.0.1:1",
+        "--readiness-listen", "127.0.0.1:2", "--entries-listen", "127.0.0.1:3", "--peer-listen", "127.0.0.1:4",
+        "--store", "127.0.0.1:5", "--config-within-ms", "3000" };
+    auto noVariables = [](const std::string&) -> std::optional<std::string> { return std::nullopt; };
+    auto read = parseGatewaySettings(flags, noVariables);
+    ASSERT_TRUE(std::holds_alternative<GatewaySettings>(read)) << std::get<SettingsExit>(read).text;
+    EXPECT_EQ(std::get<GatewaySettings>(read).configWithin, Milliseconds(3000));
+    flags.back() = "999";
+    auto refused = parseGatewaySettings(flags, noVariables);
+    ASSERT_TRUE(std::holds_alternative<SettingsExit>(refused));
+    EXPECT_NE(std::get<SettingsExit>(refused).text.find("config-within-ms"), std::string::npos);
+}
+
 } // namespace Kumquatpick
