--- a/src/fleet/configcatchup.h
+++ b/src/fleet/configcatchup.h
@@ -29,14 +29,14 @@
     void askEnded();
 
 private:
-    void noteOwn(uint64_t version, MonotonicTime now);
-
     struct Holder {
         uint64_t version = 0;
         bool isOfOwnZone = false;
         MonotonicTime heardAt {};
     };
 
+    void noteOwn(uint64_t version, MonotonicTime now);
+
     std::map<std::string, Holder, std::less<>> m_holders; // Peers by address.
     uint64_t m_newest = 0; // That a peer told of.
     uint64_t m_own = 0; // Of this node, as last given.
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -75,7 +75,7 @@
                     { .flag = "config-within-ms",
                         .into = &s.configWithin,
                         .help = "from the acceptance of a configuration until it must be in force here",
-                        .lowest = 1000 },
+                        .lowest = 100 },
                     { .flag = "entries-lifetime-ms",
                         .into = &s.entriesLifetime,
                         .help = "how long callers may use an answer about nodes",
