Keep what a large replica leaves over for the next one; let models with enough give way without a margin

Whatever a lost member left over was formed into pairs at once, wanted or not, and joining them cost the hosts their copy of the large model; the way back asked for a margin that grew with each pair (3.2 times the need for four).

Change, all in what a domain's hosts become: free hosts of a model that has enough wait for a larger one that is short, if the domain has what completes it (LargerFirst, can be switched off); a model that has enough afterwards gives way without a margin; else the margin goes by the hosts that give way, not by the replicas.

--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -28,6 +28,8 @@
         uint32_t otherLoads, std::vector<HostOrder>& orders);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
+    // Whether the host loads a copy of the model, as it was told.
+    bool isStaging(const Host&, std::string_view model) const;
     uint32_t loads() const { return static_cast<uint32_t>(m_stagings.size()); }
     // Idle hosts whose own reports tell when they are done.
     const std::set<std::string, std::less<>>& awaited() const { return m_awaited; }
@@ -50,7 +52,6 @@
     void chooseIdleLoad(const PlannerInput&, const Host&, const std::vector<const Host*>& idle, const ModelNeeds&,
         std::optional<IdleLoad>& best) const;
     void stageSecondModels(const PlannerInput&, const ModelNeeds&, std::vector<HostOrder>&);
-    bool isStaging(const Host&, std::string_view model) const;
     bool mayLoad(const PlannerInput&, uint32_t atOnce);
     void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
 
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -104,6 +104,8 @@
             double value = needed.at(model.name) / (1 + candidate.cost);
             if (value <= bestValue || isKeptFor(domain, model.name) || (homeFirst && &model != home))
                 continue;
+            if (isKeptForLarger(input, view, domain, model))
+                continue;
             best = &candidate;
             bestValue = value;
         }
@@ -129,15 +131,39 @@
     return shift != m_shifts.end() && shift->second.model != otherModel;
 }
 
-std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(const PlannerInput& input, const View& view) const
+bool ReplicaPlanner::isKeptForLarger(
+    const PlannerInput& input, const View& view, const std::string& domain, const ModelSpec& model) const
+{
+    if (input.loadsAreFree || input.off.contains(Mechanism::LargerFirst))
+        return false;
+    auto serving = view.serving.find(domain);
+    ShiftDomain stock { domain, view.freeHosts.at(domain),
+        serving == view.serving.end() ? std::vector<const ReplicaView*>() : serving->second };
+    return areKeptForLarger({ input.service, input.wanted, view.have, {},
+                                [this](const Host& host, std::string_view larger) {
+                                    return host.status.holds(larger) || m_staging.isStaging(host, larger);
+                                } },
+        stock, model);
+}
+
+std::map<std::string, std::vector<const ReplicaView*>> ReplicaPlanner::servingByDomain(
+    const PlannerInput& input, const std::vector<ReplicaView>& replicas) const
+{
+    std::map<std::string, std::vector<const ReplicaView*>> result;
+    for (const ReplicaView& replica : replicas) {
+        if (isServing(input, replica))
+            result[replica.head->status.domain].push_back(&replica);
+    }
+    return result;
+}
+
+std::vector<ShiftDomain> ReplicaPlanner::shiftDomains(const View& view) const
 {
     std::map<std::string, ShiftDomain> domains;
     for (const auto& [domain, hosts] : view.freeHosts)
         domains[domain].freeHosts = hosts;
-    for (const ReplicaView& replica : view.replicas) {
-        if (isServing(input, replica))
-            domains[replica.head->status.domain].replicas.push_back(&replica);
-    }
+    for (const auto& [domain, replicas] : view.serving)
+        domains[domain].replicas = replicas;
     std::vector<ShiftDomain> result;
     for (auto& [name, domain] : domains) {
         domain.name = name;
@@ -172,7 +198,7 @@
     std::erase_if(m_shifts, [&](const auto& entry) { return input.now - entry.second.begun > longestShift; });
     if (input.loadsAreFree || input.off.contains(Mechanism::Shift))
         return;
-    auto domains = shiftDomains(input, view);
+    auto domains = shiftDomains(view);
     size_t mostShifts = 1 + domains.size() / domainsPerShift;
     std::erase_if(domains, [this](const ShiftDomain& domain) { return m_shifts.contains(domain.name); });
     while (m_shifts.size() < mostShifts) {
@@ -191,9 +217,9 @@
 ModelStaging::ReplicasByDomain ReplicaPlanner::replicasByDomain(const PlannerInput& input, const View& view) const
 {
     ModelStaging::ReplicasByDomain result;
-    for (const ReplicaView& replica : view.replicas) {
-        if (isServing(input, replica))
-            ++result[replica.head->status.domain][replica.model];
+    for (const auto& [domain, replicas] : view.serving) {
+        for (const ReplicaView* replica : replicas)
+            ++result[domain][replica->model];
     }
     for (const Formation& formation : m_formations) {
         if (const Host* head = input.hosts.find(formation.members.front()))
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -93,6 +93,7 @@
             superviseReplica(input, replica, orders);
     }
     view.freeHosts = freeHostsByDomain(input);
+    view.serving = servingByDomain(input, view.replicas);
     view.have = replicasByModel(input, view.replicas);
     formReplicas(input, view, orders);
     for (const HostOrder& order : orders)
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -111,6 +111,7 @@
     // plan of 760 hosts over half a second of a core.
     struct View {
         std::vector<ReplicaView> replicas;
+        std::map<std::string, std::vector<const ReplicaView*>> serving; // By domain.
         HostsByDomain freeHosts;
         std::map<std::string, uint32_t> have; // Replicas that serve or form, by model.
         // The best choices of each domain's free hosts, one a model that has any; made again when they change.
@@ -140,8 +141,11 @@
     uint32_t loadsOfFormations(const PlannerInput&) const;
     void shiftReplicas(const PlannerInput&, const View&);
     std::map<std::string, uint32_t> replicasAfterShifts(const View&) const;
-    std::vector<ShiftDomain> shiftDomains(const PlannerInput&, const View&) const;
+    std::vector<ShiftDomain> shiftDomains(const View&) const;
+    std::map<std::string, std::vector<const ReplicaView*>> servingByDomain(
+        const PlannerInput&, const std::vector<ReplicaView>&) const;
     bool isKeptFor(std::string_view domain, std::string_view otherModel) const;
+    bool isKeptForLarger(const PlannerInput&, const View&, const std::string& domain, const ModelSpec&) const;
     bool hasSettled(const PlannerInput&);
     HostsByDomain freeHostsByDomain(const PlannerInput&) const;
     bool isFree(const PlannerInput&, const Host&) const;
--- a/src/fleet/replicashift.cpp
+++ b/src/fleet/replicashift.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-    // A model whose next replica would be full already.
+    // Above it, a model's next replica would be full at once: its calls lack places.
     constexpr double leastNeed = 1.0;
-    // How much more the one model must need a replica than the others afterwards, for the first replica that gives way
-    // and for each further one: a shift stops both from serving for two seconds.
-    constexpr double firstMargin = 1.7;
-    constexpr double furtherMargin = 0.5;
+    // How much more the one model must need a replica than the others afterwards, and on top of that for a whole
+    // replica of hosts that give way: a shift stops these from serving for two seconds.
+    constexpr double firstMargin = 1.4;
+    constexpr double wholeMargin = 0.6;
 
     double needOf(const ShiftInput& input, std::string_view model, uint32_t taken)
     {
@@ -21,6 +21,22 @@
         return wanted == input.wanted.end() ? 0 : wanted->second / (1.0 + left);
     }
 
+    // Free hosts that hold the model, and those that do in replicas of models that need no further one. None if no free
+    // host holds it: then nothing is there to be kept.
+    size_t hostsAtHand(const ShiftInput& input, const ShiftDomain& domain, const ModelSpec& model)
+    {
+        auto holds = [&](const Host* host) { return input.holds(*host, model.name); };
+        auto hosts = static_cast<size_t>(std::ranges::count_if(domain.freeHosts, holds));
+        if (hosts == 0)
+            return 0;
+        for (const ReplicaView* replica : domain.replicas) {
+            bool canSpare = replica->model != model.name && needOf(input, replica->model, 1) <= leastNeed;
+            if (canSpare && std::ranges::all_of(replica->members, holds))
+                hosts += replica->members.size();
+        }
+        return hosts;
+    }
+
     // The fewest replicas of other models that, with the free hosts, are enough for one of this model.
     std::optional<ReplicaShift> shiftIn(const ShiftInput& input, const ShiftDomain& domain, const ModelSpec& model)
     {
@@ -28,22 +44,27 @@
         auto hosts = static_cast<size_t>(std::ranges::count_if(domain.freeHosts, holds));
         ReplicaShift shift { domain.name, model.name, {} };
         std::map<std::string, uint32_t> taken;
+        size_t hostsTaken = 0;
         for (const ReplicaView* replica : domain.replicas) {
             if (hosts >= model.hostsPerReplica)
                 break;
             if (replica->model == model.name || !std::ranges::all_of(replica->members, holds))
                 continue;
             hosts += replica->members.size();
+            hostsTaken += replica->members.size();
             ++taken[replica->model];
             shift.replicas.emplace_back(replica->name, replica->epoch);
         }
         // Without one that gives way there is nothing to shift: free hosts form replicas by themselves.
         if (hosts < model.hostsPerReplica || shift.replicas.empty())
             return std::nullopt;
-        double margin = firstMargin + furtherMargin * static_cast<double>(shift.replicas.size() - 1);
+        double shareTaken = std::min(1.0, static_cast<double>(hostsTaken) / model.hostsPerReplica);
+        double margin = firstMargin + wholeMargin * shareTaken;
         double need = needOf(input, model.name, 0);
-        bool isWorthIt = std::ranges::all_of(
-            taken, [&](const auto& entry) { return need > margin * needOf(input, entry.first, entry.second); });
+        bool isWorthIt = std::ranges::all_of(taken, [&](const auto& entry) {
+            double needAfter = needOf(input, entry.first, entry.second);
+            return needAfter <= leastNeed || need > margin * needAfter;
+        });
         return isWorthIt ? std::optional(std::move(shift)) : std::nullopt;
     }
 
@@ -71,4 +92,14 @@
     return std::nullopt;
 }
 
+bool areKeptForLarger(const ShiftInput& input, const ShiftDomain& domain, const ModelSpec& model)
+{
+    if (needOf(input, model.name, 0) > leastNeed)
+        return false;
+    return std::ranges::any_of(input.service.models, [&](const ModelSpec& larger) {
+        bool isShort = larger.hostsPerReplica > model.hostsPerReplica && needOf(input, larger.name, 0) > leastNeed;
+        return isShort && hostsAtHand(input, domain, larger) >= larger.hostsPerReplica;
+    });
+}
+
 } // namespace Kumquatpick
--- a/src/fleet/replicashift.h
+++ b/src/fleet/replicashift.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,7 +26,7 @@
     const ServiceSpec& service;
     const std::map<std::string, double, std::less<>>& wanted; // Replicas that the traffic would fill, by model.
     const std::map<std::string, uint32_t>& have; // By model.
-    const std::vector<ShiftDomain>& domains;
+    std::span<const ShiftDomain> domains;
     // Whether the host can join the model without a load from the weight store.
     std::function<bool(const Host&, std::string_view model)> holds;
 };
@@ -41,4 +42,10 @@
 // after a warm load of one to two seconds, where the weight store would take twelve to sixteen and has few to give.
 std::optional<ReplicaShift> chooseShift(const ShiftInput&);
 
+// Whether the free hosts of a domain are worth more as a part of a larger model's replica than as one of this model:
+// the larger one is short, this one is not, and the domain has what completes it, in free hosts and in replicas of
+// models that can spare them. Hosts that join another model lose their copy of the larger one, and loading it anew
+// takes many times longer than waiting for the rest.
+bool areKeptForLarger(const ShiftInput&, const ShiftDomain&, const ModelSpec&);
+
 } // namespace Kumquatpick
--- /dev/null
+++ b/tests/fleet/lossyworld.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "fleet/plannerworld.h"
+
+#include <fmt/format.h>
+#include <map>
+
+namespace Kumquatpick {
+
+// A fleet under the load of a day on which hosts die for good, silently, a few at a time, and empty ones come in their
+// place. Joins, openings and loads take the time that engines take for them.
+class LossyWorld : public PlannerWorld {
+public:
+    struct Sizes {
+        uint32_t large = 8;
+        uint32_t small = 2;
+        int domains = 9;
+        int hostsPerDomain = 18;
+    };
+
+    LossyWorld(Sizes sizes, double wantedLarge, double wantedSmall)
+        : PlannerWorld({ modelOf("large", sizes.large), modelOf("small", sizes.small) })
+        , m_sizes(sizes)
+    {
+        service.models[1].load = Milliseconds(12'000);
+        service.models[1].warmLoad = Milliseconds(1100);
+        service.timing.loadsPerSecond = 14;
+        service.timing.concurrentLoads = 20;
+        wanted = { { "large", wantedLarge }, { "small", wantedSmall } };
+        obey = [this](const HostOrder& order) { return obeyInTime(order); };
+        for (int i = 0; i < sizes.domains * sizes.hostsPerDomain; ++i)
+            addHost(fmt::format("host-{:03}", m_hosts++), domainName(i % sizes.domains));
+        run(Milliseconds(14'000));
+        loadsAreFree = false;
+    }
+
+    // Goes on in steps in which joins and loads end.
+    void run(Milliseconds duration)
+    {
+        for (MonotonicTime end = now + duration; now < end;) {
+            PlannerWorld::run(Milliseconds(100));
+            endWhatIsDue();
+        }
+    }
+
+    // Loses hosts of that domain that are members of replicas, first those of open ones. They fall silent, and their
+    // entries lapse three heartbeats later.
+    void loseMembers(int domain, size_t count)
+    {
+        std::vector<const Host*> members;
+        for (const ReplicaView& replica : openReplicas()) {
+            if (replica.head->status.domain == domainName(domain))
+                members.insert(members.end(), replica.members.begin(), replica.members.end());
+        }
+        for (size_t i = 0; i < std::min(count, members.size()); ++i) {
+            const Host* lost = members[(i * m_sizes.large + 1) % members.size()];
+            contacts[lost->id] = HostContact::Silent;
+            silentReports.insert(lost->id);
+            m_unlistedAt[lost->id] = now + Milliseconds(3600);
+            for (const ReplicaView& replica : openReplicas()) {
+                if (replica.head && std::ranges::find(replica.members, lost) != replica.members.end())
+                    still.insert(replica.head->id);
+            }
+        }
+    }
+
+    void addEmptyHosts(int domain, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            addHost(fmt::format("host-{:03}", m_hosts++), domainName(domain));
+    }
+
+    // Replicas that serve: all of their members are alive.
+    size_t serving(std::string_view model) const
+    {
+        return static_cast<size_t>(std::ranges::count_if(openReplicas(), [&](const ReplicaView& replica) {
+            bool isWhole = std::ranges::none_of(
+                replica.members, [this](const Host* member) { return contacts.contains(member->id); });
+            return replica.model == model && isWhole;
+        }));
+    }
+
+private:
+    static std::string domainName(int domain) { return fmt::format("domain-{:02}", domain); }
+
+    OrderResult obeyInTime(const HostOrder& order)
+    {
+        if (contacts.contains(order.hostId))
+            return OrderResult::Lost;
+        const Host* host = table.find(order.hostId);
+        if (!host)
+            return OrderResult::Lost;
+        HostStatus before = host->status;
+        OrderResult result = carryOut(order);
+        if (result != OrderResult::Accepted)
+            return result;
+        const ModelSpec* model = service.model(order.model);
+        HostStatus status = table.find(order.hostId)->status;
+        if (order.kind == OrderKind::Join) {
+            bool isLast = before.lastModel == order.model;
+            Milliseconds takes = isLast        ? Milliseconds(200)
+                : before.isStaged(order.model) ? model->warmLoad
+                                               : loadTime(*model);
+            status.membership->state = MemberState::Joining;
+            m_joinsEnd[order.hostId] = { now + takes, *status.membership };
+        } else if (order.kind == OrderKind::Stage) {
+            status.stagedModels = before.stagedModels;
+            m_loadsEnd[order.hostId] = { now + loadTime(*model), order.model };
+        } else if (order.kind == OrderKind::Leave) {
+            m_joinsEnd.erase(order.hostId);
+        }
+        table.reported(order.hostId, status, now += std::chrono::microseconds(1));
+        return result;
+    }
+
+    Milliseconds loadTime(const ModelSpec& model) const { return loadsAreFree ? model.load / 10 : model.load; }
+
+    void endWhatIsDue()
+    {
+        std::erase_if(m_joinsEnd, [this](const auto& entry) {
+            const auto& [at, membership] = entry.second;
+            const Host* host = table.find(entry.first);
+            if (at > now)
+                return false;
+            if (host && host->isMemberOf(membership.replica, membership.epoch)) {
+                HostStatus status = host->status;
+                status.membership->state = MemberState::Ready;
+                table.reported(entry.first, status, now += std::chrono::microseconds(1));
+            }
+            return true;
+        });
+        std::erase_if(m_loadsEnd, [this](const auto& entry) {
+            const auto& [at, model] = entry.second;
+            const Host* host = table.find(entry.first);
+            if (at > now)
+                return false;
+            if (host) {
+                HostStatus status = host->status;
+                status.stagedModels = { model };
+                table.reported(entry.first, status, now += std::chrono::microseconds(1));
+            }
+            return true;
+        });
+        std::erase_if(m_unlistedAt, [this](const auto& entry) {
+            if (entry.second > now)
+                return false;
+            table.unlisted(entry.first);
+            return true;
+        });
+    }
+
+    Sizes m_sizes;
+    int m_hosts = 0;
+    std::map<std::string, std::pair<MonotonicTime, Membership>> m_joinsEnd; // By host.
+    std::map<std::string, std::pair<MonotonicTime, std::string>> m_loadsEnd;
+    std::map<std::string, MonotonicTime> m_unlistedAt;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/tests/fleet/replicalosses_test.cpp
@@ -0,0 +1,57 @@
+#include "fleet/lossyworld.h"
+
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // How long the model had fewer replicas than that at a stretch; the longest.
+    class Shortage {
+    public:
+        explicit Shortage(MonotonicTime start)
+            : m_enoughAt(start)
+        {
+        }
+
+        void observe(bool isShort, MonotonicTime now)
+        {
+            if (!isShort)
+                m_enoughAt = now;
+            m_longest = std::max(m_longest, now - m_enoughAt);
+        }
+        Milliseconds longest() const { return std::chrono::ceil<Milliseconds>(m_longest); }
+
+    private:
+        MonotonicTime m_enoughAt;
+        MonotonicTime::duration m_longest {};
+    };
+
+}
+
+// Nine in ten calls need the small model, which has more replicas than they fill; the large one has about as many as
+// it needs. Two hosts die every three seconds, each in another replica, and two empty ones come. What a large replica
+// leaves over must become a large one again with the help of pairs that are not needed, rather than further pairs:
+// taken apart into pairs, ten replicas of eight became two within ten seconds and four for the rest of the day.
+TEST(ReplicaLosses, KeepTheLargeModelServingWhileTheSmallOneHasToSpare)
+{
+    constexpr double wantedLarge = 9;
+    LossyWorld world({}, wantedLarge, 40);
+    ASSERT_GE(world.serving("large"), 9u);
+    ASSERT_GE(world.serving("small"), 40u);
+    Shortage shortage(world.now);
+    for (int loss = 0; loss < 10; ++loss) {
+        int domain = loss * 2 % 9;
+        world.loseMembers(domain, 2);
+        world.addEmptyHosts((domain + 4) % 9, 2);
+        for (int step = 0; step < 30; ++step) {
+            world.run(Milliseconds(100));
+            shortage.observe(static_cast<double>(world.serving("large")) < 0.75 * wantedLarge, world.now);
+        }
+    }
+    EXPECT_LE(shortage.longest(), Milliseconds(5000));
+    EXPECT_GE(world.serving("large"), 7u) << "at the end";
+    EXPECT_GE(world.serving("small"), 36u) << "pairs give way only where they are not needed";
+}
+
+} // namespace Kumquatpick
--- a/tests/fleet/replicashift_test.cpp
+++ b/tests/fleet/replicashift_test.cpp
@@ -42,8 +42,22 @@
                 for (const ReplicaView& replica : m_replicas[name])
                     domain.replicas.push_back(&replica);
             }
-            return chooseShift({ m_service, m_wanted, m_have, domains,
-                [this](const Host& host, std::string_view) { return !m_cold.contains(host.id); } });
+            return chooseShift({ m_service, m_wanted, m_have, domains, holds() });
+        }
+
+        // Of the first domain, for a replica of this model.
+        bool areKept(const std::string& model) const
+        {
+            ShiftDomain domain;
+            domain.freeHosts = m_free.at("d1");
+            for (const ReplicaView& replica : m_replicas.at("d1"))
+                domain.replicas.push_back(&replica);
+            return areKeptForLarger({ m_service, m_wanted, m_have, {}, holds() }, domain, *m_service.model(model));
+        }
+
+        std::function<bool(const Host&, std::string_view)> holds() const
+        {
+            return [this](const Host& host, std::string_view) { return !m_cold.contains(host.id); };
         }
 
         ServiceSpec m_service;
@@ -104,4 +118,42 @@
     EXPECT_FALSE(choose());
 }
 
+// A large replica lost one of its four hosts while the small model has more than its calls fill.
+TEST_F(ReplicaShiftTest, KeepsFreeHostsForALargerModelThatAPairCompletes)
+{
+    m_free["d1"] = { addHost(), addHost(), addHost() };
+    for (int i = 0; i < 4; ++i)
+        addReplica("d1", "small");
+    EXPECT_TRUE(areKept("small"));
+    EXPECT_FALSE(areKept("large"));
+    m_wanted["small"] = 9;
+    EXPECT_FALSE(areKept("small")) << "it is short itself";
+    m_wanted = { { "large", 0.9 }, { "small", 3 } };
+    EXPECT_FALSE(areKept("small")) << "the larger model needs none";
+}
+
+TEST_F(ReplicaShiftTest, KeepsNothingForWhatTheDomainCannotComplete)
+{
+    m_free["d1"] = { addHost(), addHost() };
+    addReplica("d1", "small");
+    m_wanted = { { "large", 2 }, { "small", 0.5 } };
+    EXPECT_TRUE(areKept("small")) << "with the pair, the model of four has its hosts";
+    m_cold = { "2" };
+    EXPECT_FALSE(areKept("small")) << "a host of the pair would have to load";
+}
+
+// Four replicas that give way to one stop no more hosts from serving than two larger ones.
+TEST_F(ReplicaShiftTest, AsksForAsMuchOfPairsAsOfAReplicaOfAsManyHosts)
+{
+    m_service.models = { modelOf("large", 8), modelOf("small", 2) };
+    for (int i = 0; i < 4; ++i)
+        addReplica("d1", "small");
+    m_wanted = { { "large", 4 }, { "small", 1.9 } };
+    auto shift = choose();
+    ASSERT_TRUE(shift) << "twice the need is enough, also of four pairs";
+    EXPECT_EQ(shift->replicas.size(), 4u);
+    m_wanted["large"] = 3;
+    EXPECT_FALSE(choose());
+}
+
 } // namespace Kumquatpick
