Hand the list of hosts on from every node, and leave the store to the readers of each zone

A node whose two readers were silent turned to the store at once, as did every other (98 of 98 nodes of a zone in event time); a node that others took for a reader before they heard of better ones handed on nothing. With hundreds of readers no read was answered in time, configurations among them: in force after 10.2 s in the middle and 19.2 s at the longest.

Ruled out: bytes of the configuration itself (in force within 0.16 s at 100 nodes), links of the readers (the busiest node moved 5.6 MB a second of 25).

Change: every node hands on what it read, with its age, and the whole list to who lags or starts; readers that fail leave the choice at once; a node that found nobody turns to the store after one second, and after four if its zone is there but has no list yet; a listing goes on at the page that failed, with more patience. A node that can't tell that its configuration is the newest says 503 in place of 404 and 401.

Tests first: OthersTakeThePlaceOfReadersThatEnd fails with 98 nodes at the store without the change (15 allowed); GivesAllToWhoLagsOrKnowsNothing, StartsWithTheListOfItsPeer, RefusesNothingAsUnknownByAnOldConfiguration.

--- a/src/fleet/configcatchup.h
+++ b/src/fleet/configcatchup.h
@@ -27,6 +27,8 @@
     // The peer to ask now, if one should be; begins the ask. waitsForStore: the store may bring it by itself.
     std::optional<std::string> beginAsk(uint64_t ownVersion, bool waitsForStore, MonotonicTime now, Random&);
     void askEnded();
+    // Whether a peer told of a newer version than this.
+    bool isBehind(uint64_t ownVersion) const { return m_newest > ownVersion; }
 
 private:
     struct Holder {
--- /dev/null
+++ b/src/fleet/listreaders.cpp
@@ -0,0 +1,58 @@
+#include "fleet/listreaders.h"
+
+#include <algorithm>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Of each zone: while one fails, the other goes on.
+    constexpr size_t readersPerZone = 2;
+    constexpr const char* duty = "read-hosts";
+    constexpr Milliseconds askAgainAfter { 2000 };
+    // Some rounds of questions; and a leaving host may get work for two seconds.
+    constexpr Milliseconds readStoreAfter { 1000 };
+    // What readers need to list some thousand hosts from a store that a whole fleet has just turned to.
+    constexpr Milliseconds readersNeed { 4000 };
+
+}
+
+ListReaders::ListReaders(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+bool ListReaders::hasFailed(std::string_view node, MonotonicTime now) const
+{
+    auto failed = m_failedAt.find(node);
+    return failed != m_failedAt.end() && now - failed->second < askAgainAfter;
+}
+
+std::vector<std::string> ListReaders::readersOf(std::span<const DutyNode> zone, MonotonicTime now) const
+{
+    std::vector<DutyNode> nodes;
+    std::ranges::copy_if(
+        zone, std::back_inserter(nodes), [&](const DutyNode& node) { return !hasFailed(node.address, now); });
+    return chooseNodes(nodes, duty, readersPerZone);
+}
+
+std::vector<std::string> ListReaders::toAsk(std::span<const DutyNode> ownZone, MonotonicTime now) const
+{
+    auto readers = readersOf(ownZone, now);
+    bool isReader = std::ranges::find(readers, m_self) != readers.end();
+    return isReader ? std::vector<std::string>() : readers;
+}
+
+void ListReaders::failed(std::string_view node, MonotonicTime now)
+{
+    std::erase_if(m_failedAt, [&](const auto& entry) { return now - entry.second >= askAgainAfter; });
+    m_failedAt.insert_or_assign(std::string(node), now);
+}
+
+bool ListReaders::mayReadStore(bool didAnyAnswer, MonotonicTime now)
+{
+    m_missedSince = m_missedSince.value_or(now);
+    return now - *m_missedSince >= (didAnyAnswer ? readersNeed : readStoreAfter);
+}
+
+} // namespace Kumquatpick
--- a/src/fleet/logreads.cpp
+++ b/src/fleet/logreads.cpp
@@ -16,17 +16,19 @@
     constexpr Milliseconds firstPause { 100 };
     constexpr Milliseconds usualLongestPause { 800 };
     constexpr int mostDoublings = 4;
+    constexpr Milliseconds longestPage { 3000 };
 
 }
 
 LogReads::LogReads(Milliseconds longestHold)
-    : LogReads(longestHold, usualLongestPause)
+    : LogReads(longestHold, usualLongestPause, longestPage)
 {
 }
 
-LogReads::LogReads(Milliseconds longestHold, Milliseconds longestPause)
+LogReads::LogReads(Milliseconds longestHold, Milliseconds longestPause, Milliseconds longestListing)
     : m_longestHold(longestHold)
     , m_longestPause(longestPause)
+    , m_longestListing(longestListing)
 {
 }
 
@@ -36,7 +38,7 @@
 {
     auto forReaders = std::chrono::duration_cast<Milliseconds>(within * readersShare);
     Milliseconds spare = std::max(shortestHold, forReaders - answerTimeout - firstPause - slowAnswer);
-    return { spare, std::min(usualLongestPause, spare) };
+    return { spare, std::min(usualLongestPause, spare), answerTimeout };
 }
 
 ReadTerms LogReads::next() const
@@ -45,7 +47,10 @@
     return { hold, hold + answerTimeout };
 }
 
-Milliseconds LogReads::listingPatience() const { return answerTimeout; }
+Milliseconds LogReads::listingPatience() const
+{
+    return std::min(m_longestListing, answerTimeout * (1 << std::min(m_failures, mostDoublings)));
+}
 
 Milliseconds LogReads::failed(double draw)
 {
--- a/src/fleet/logreads.h
+++ b/src/fleet/logreads.h
@@ -25,7 +25,8 @@
     static LogReads forNewsWithin(Milliseconds);
 
     ReadTerms next() const;
-    // Of one page of a listing, which the store never holds.
+    // Of one page of a listing, which the store never holds. Grows while pages fail, but not where news are urgent: a
+    // store that many nodes list from at once is slow, and a page given up costs it as much as one that is read.
     Milliseconds listingPatience() const;
     void answered() { m_failures = 0; }
     // The pause before the next read; draw: from 0 to 1, so that nodes that failed together don't come back together.
@@ -34,10 +35,11 @@
     int failures() const { return m_failures; }
 
 private:
-    LogReads(Milliseconds longestHold, Milliseconds longestPause);
+    LogReads(Milliseconds longestHold, Milliseconds longestPause, Milliseconds longestListing);
 
     Milliseconds m_longestHold;
     Milliseconds m_longestPause;
+    Milliseconds m_longestListing; // Of one page.
     int m_failures = 0;
 };
 
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -56,11 +56,11 @@
         co_return m_keepAlive;
     }
     if (!findRoute()) {
-        co_await answer(refusal(http::status::not_found, "no route"));
+        co_await answer(notConfigured(http::status::not_found, "no route"));
         co_return m_keepAlive;
     }
     if (!checkKey()) {
-        co_await answer(refusal(http::status::unauthorized, "unknown key"));
+        co_await answer(notConfigured(http::status::unauthorized, "unknown key"));
         co_return m_keepAlive;
     }
     startClock();
@@ -211,6 +211,15 @@
 
 // Spread, so that those refused together don't return together; a caller does not wait for longer than a third of
 // the time that it has left.
+// A node that is behind can't tell what does not exist from what it has not heard of; another node can.
+HttpResponse CallForwarder::notConfigured(http::status status, std::string_view reason)
+{
+    if (m_context.isConfigCurrent)
+        return refusal(status, reason);
+    m_context.metrics.count("requests_beyond_old_config_total");
+    return refusal(http::status::service_unavailable, "the configuration here may be out of date", comeBackIn());
+}
+
 Milliseconds CallForwarder::comeBackIn()
 {
     double draw = m_context.off.contains(Mechanism::ReturnSpread) ? 0.5 : m_context.draw();
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -59,6 +59,8 @@
     asio::awaitable<SendOutcome> sendOver(PeerConnection&);
     asio::awaitable<SendOutcome> readReply(PeerConnection&);
     asio::awaitable<bool> readOwnHead(PeerConnection&, std::unique_ptr<BodyParser>&, Reply&);
+    void noteProgress();
+    void noteBegun();
     asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
     asio::awaitable<SendOutcome> passStream(PeerConnection&, BodyParser&);
     asio::awaitable<bool> writeEvents(const ResponseHead&, std::string events);
@@ -68,6 +70,7 @@
     asio::awaitable<void> answer(HttpResponse);
     asio::awaitable<void> answerFailed();
     HttpResponse refusal(http::status, std::string_view reason, std::optional<Milliseconds> retryAfter = {});
+    HttpResponse notConfigured(http::status, std::string_view reason);
     Milliseconds comeBackIn();
     void finish(std::string_view outcome, std::string_view reason);
 
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -70,6 +70,8 @@
     bool hostsListed = false; // The list of backend servers was read once.
 
     // Addresses of hosts, also of those that were listed a while ago.
+    // No newer configuration can be in force, as far as it must be known here: what it lacks does not exist.
+    bool isConfigCurrent = false;
     std::map<Address, MonotonicTime> hostAddresses;
     bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,6 +71,7 @@
         if (batch) {
             batch->configVersion = m_context.routes ? m_context.routes->version() : 0;
             batch->storeServedFor = std::chrono::floor<Milliseconds>(m_context.now() - m_health.servesSince());
+            batch->configAge = std::chrono::ceil<Milliseconds>(configAge());
         }
         return batch;
     });
@@ -215,6 +216,7 @@
         {
             LoopTime::Section section(m_context.loopTime, LoopPart::Upkeep);
             dropDueHosts();
+            m_context.isConfigCurrent = isConfigCurrent();
             m_context.hosts.expireReports(m_context.now());
             refreshOthersInFlight(tick);
             cutStandingStill();
@@ -266,13 +268,23 @@
             toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i))));
 }
 
-// Since the store, or a node that reads it for this one, last told which version is the newest; zero if none did yet.
+// When the store, or a node that reads it for this one, last told which version is the newest; nothing if none did yet.
+std::optional<MonotonicTime> Gateway::configHeardAt() const
+{
+    MonotonicTime heardAt = std::max(m_configFollower.heardAt().value_or(MonotonicTime {}), m_peers.configHeardAt());
+    return heardAt == MonotonicTime {} ? std::nullopt : std::optional(heardAt);
+}
+
+// Zero if nothing was heard yet.
 MonotonicTime::duration Gateway::configAge() const
 {
-    auto heardAt = m_configFollower.heardAt();
-    if (m_hostFollower.isReadByPeer())
-        heardAt = std::max(heardAt, m_hostFollower.heardAt());
-    return heardAt ? m_context.now() - *heardAt : MonotonicTime::duration(0);
+    MonotonicTime now = m_context.now();
+    return now - configHeardAt().value_or(now);
+}
+
+bool Gateway::isConfigCurrent() const
+{
+    return configHeardAt() && configAge() <= m_context.settings.configWithin && !m_peers.knowsNewerConfig();
 }
 
 void Gateway::refreshOthersInFlight(int tick)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,7 +52,9 @@
     void refreshOthersInFlight(int tick);
     void watchLoop(MonotonicTime now);
     void reportLoop();
+    std::optional<MonotonicTime> configHeardAt() const;
     MonotonicTime::duration configAge() const;
+    bool isConfigCurrent() const;
     void cutStandingStill();
     void updateDemand();
     asio::awaitable<void> stopGracefully();
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -28,11 +28,9 @@
     constexpr const char* relayTarget = "/relay";
     constexpr const char* configTarget = "/config";
     constexpr const char* hostsTarget = "/hosts?from=";
-    // Readers of the store in each zone: while one fails, the other goes on.
-    constexpr size_t readersPerZone = 2;
-    constexpr const char* readHostsDuty = "read-hosts";
     constexpr Milliseconds readTimeout { 300 };
-    constexpr Milliseconds readAgainAfter { 2000 };
+    // What follows the head: a list of some thousand hosts, over a link of 20 Mbit/s.
+    constexpr Milliseconds listBodyTimeout { 3000 };
     // One that did not hear from the store for longer may be cut off from it.
     constexpr Milliseconds longestReaderAge { 1000 };
     // What follows the head: a text of some 100 KB over a link of 20 Mbit/s that callers use too.
@@ -46,6 +44,7 @@
     , m_fill(std::move(fill))
     , m_take(std::move(take))
     , m_takeConfig(std::move(takeConfig))
+    , m_listReaders(context.settings.peers.toString())
 {
     for (const Address& seed : context.settings.seedAddresses())
         addKnown(seed);
@@ -265,55 +264,73 @@
 
 bool Peers::callsAllEachRound() const { return m_peers.size() <= peersPerRound; }
 
-// Those of the own zone; none if this node is one of them, unless the store turns it away.
+// Those of the own zone, if this node is none of them; where the store turns it away, all others, of all zones.
 std::vector<std::string> Peers::hostReaders(bool isTurnedAway) const
 {
-    std::string self = m_context.settings.peers.toString();
-    auto readers = chooseNodes(nodesOf(m_context.settings.zone), readHostsDuty, readersPerZone);
-    bool isReader = std::ranges::find(readers, self) != readers.end();
-    if ((isReader && !isTurnedAway) || m_context.off.contains(Mechanism::StoreReaders))
+    if (m_context.off.contains(Mechanism::StoreReaders))
         return {};
-    std::erase(readers, self);
+    MonotonicTime now = m_context.now();
+    auto ownZone = nodesOf(m_context.settings.zone);
     if (!isTurnedAway)
-        return readers;
+        return m_listReaders.toAsk(ownZone, now);
+    auto readers = m_listReaders.readersOf(ownZone, now);
     for (const std::string& zone : otherZones()) {
         auto nodes = nodesOf(zone);
-        std::erase_if(nodes, [&](const DutyNode& node) { return node.address == self; });
-        std::ranges::move(chooseNodes(nodes, readHostsDuty, readersPerZone), std::back_inserter(readers));
+        std::erase_if(nodes, [this](const DutyNode& node) { return node.address == self().address; });
+        std::ranges::move(m_listReaders.readersOf(nodes, now), std::back_inserter(readers));
     }
+    std::erase(readers, self().address);
     return readers;
 }
 
-asio::awaitable<std::optional<RecordBatch>> Peers::readHosts(uint64_t from, bool isTurnedAway)
+asio::awaitable<LogFollower::PeerRead> Peers::readHosts(uint64_t from, bool isTurnedAway)
 {
-    for (const std::string& reader : hostReaders(isTurnedAway)) {
-        auto peer = m_peers.find(reader);
-        if (peer == m_peers.end() || m_context.now() - peer->second.readFailedAt < readAgainAfter)
+    auto readers = hostReaders(isTurnedAway);
+    if (readers.empty()) {
+        m_listReaders.isServed();
+        co_return LogFollower::PeerRead {};
+    }
+    bool didAnyAnswer = false;
+    for (const std::string& reader : readers) {
+        auto answer = co_await readHostsAt(reader, from);
+        if (std::holds_alternative<HasNoList>(answer)) {
+            didAnyAnswer = true;
             continue;
-        auto batch = co_await readHostsAt(reader, from);
-        if (batch && batch->age <= longestReaderAge) {
+        }
+        auto* batch = std::get_if<RecordBatch>(&answer);
+        // An old list is better than none.
+        bool isUsable = batch && (batch->age <= longestReaderAge || (isTurnedAway && from == 0));
+        if (isUsable) {
+            m_listReaders.isServed();
+            m_configHeardAt = std::max(m_configHeardAt, m_context.now() - batch->configAge);
             m_catchUp.heard(reader, true, batch->configVersion, m_context.now());
             askForNewerConfig();
-            co_return batch;
+            co_return LogFollower::PeerRead { std::move(*batch), false };
         }
-        peer = m_peers.find(reader);
-        if (peer != m_peers.end())
-            peer->second.readFailedAt = m_context.now();
+        m_listReaders.failed(reader, m_context.now());
         m_context.log.write(
             "reader_failed", { { "peer", reader }, { "from", from }, { "age_ms", batch ? batch->age.count() : -1 } });
     }
-    co_return std::nullopt;
+    bool isReader = m_listReaders.toAsk(nodesOf(m_context.settings.zone), m_context.now()).empty();
+    bool mayReadStore = isReader || m_listReaders.mayReadStore(didAnyAnswer, m_context.now());
+    co_return LogFollower::PeerRead { std::nullopt, mayReadStore };
 }
 
-asio::awaitable<std::optional<RecordBatch>> Peers::readHostsAt(std::string address, uint64_t from)
+asio::awaitable<Peers::ReaderAnswer> Peers::readHostsAt(std::string address, uint64_t from)
 {
     auto parsed = settle([&] { return Address::parse(address); });
     HttpRequest request(http::verb::get, hostsTarget + std::to_string(from), 11);
-    auto answer
-        = co_await m_context.pool.exchange(std::get<Address>(parsed), std::move(request), readTimeout, Step::Gossip);
+    auto answer = co_await m_context.pool.exchange(
+        std::get<Address>(parsed), std::move(request), readTimeout, Step::Gossip, listBodyTimeout);
     auto* response = std::get_if<HttpResponse>(&answer);
-    bool isOk = response && response->result() == http::status::ok;
-    co_return isOk ? decodeRecordBatch(response->body()) : std::nullopt;
+    if (!response)
+        co_return std::get<Error>(answer);
+    if (response->result() == http::status::gone)
+        co_return HasNoList {};
+    auto batch = decodeRecordBatch(response->body());
+    if (!batch)
+        co_return Error { ErrorCode::Malformed, Step::Gossip, address, "records that can't be read" };
+    co_return std::move(*batch);
 }
 
 asio::awaitable<void> Peers::askForConfig(std::string address)
@@ -341,6 +358,8 @@
     m_context.metrics.count(fmt::format("peer_bytes_total{{kind=\"{}\",zone=\"{}\"}}", kind, where), bytes);
 }
 
+bool Peers::knowsNewerConfig() const { return m_catchUp.isBehind(configVersion()); }
+
 uint64_t Peers::configVersion() const { return m_context.routes ? m_context.routes->version() : 0; }
 
 PeerDigest Peers::ownDigest(std::string_view reader, bool isAnswer)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fleet/configcatchup.h"
+#include "fleet/listreaders.h"
 #include "fleet/rendezvous.h"
 #include "gateway/context.h"
 #include "gateway/peerdigest.h"
 #include "gateway/recordfeed.h"
+#include "gateway/storeclient.h"
 
 #include <functional>
 #include <map>
@@ -31,12 +33,16 @@
     asio::awaitable<Settled<HttpResponse>> relay(std::string peer, Address host, HttpRequest);
     std::vector<std::string> aliveAddresses() const;
     // Records of the list of backend servers from another node of this zone, if one reads the store for this one.
-    asio::awaitable<std::optional<RecordBatch>> readHosts(uint64_t from, bool isTurnedAway);
+    asio::awaitable<LogFollower::PeerRead> readHosts(uint64_t from, bool isTurnedAway);
     // Gives the records that readHosts() of other nodes asks for.
     using FeedHosts = std::function<std::optional<RecordBatch>(uint64_t from)>;
     void serveHosts(FeedHosts feed) { m_feedHosts = std::move(feed); }
     // While this holds the store does not bring configurations, so that no ask for one waits for it.
     void learnConfigsWhile(std::function<bool()> holds) { m_learnsConfigs = std::move(holds); }
+    // When a node that reads the store for this one last heard there which configuration is the newest.
+    MonotonicTime configHeardAt() const { return m_configHeardAt; }
+    // Whether a peer has a newer configuration than this node.
+    bool knowsNewerConfig() const;
     // Whether this node is one of so many that take on a duty for all.
     bool isChosen(std::string_view duty, size_t count) const;
     // The nodes of a zone that take on a duty for it, as this node sees it.
@@ -71,7 +77,6 @@
         MonotonicTime triedAt {};
         int failures = 0;
         bool isBusy = false; // A call to it is under way.
-        MonotonicTime readFailedAt {}; // It did not hand on records.
         int digestsWithoutPeers = 0; // Told to it since the last that named the other nodes.
     };
 
@@ -92,7 +97,10 @@
     HttpResponse answerDigest(const HttpRequest&);
     HttpResponse answerConfig() const;
     HttpResponse answerHosts(const HttpRequest&);
-    asio::awaitable<std::optional<RecordBatch>> readHostsAt(std::string address, uint64_t from);
+    // It is there, and has not read the list yet.
+    struct HasNoList { };
+    using ReaderAnswer = std::variant<RecordBatch, HasNoList, Error>;
+    asio::awaitable<ReaderAnswer> readHostsAt(std::string address, uint64_t from);
     asio::awaitable<HttpResponse> answerRelayed(const HttpRequest&);
     void countBytes(const char* kind, std::string_view zone, size_t bytes);
 
@@ -101,9 +109,11 @@
     TakeDigest m_take;
     TakeConfig m_takeConfig;
     ConfigCatchUp m_catchUp;
+    ListReaders m_listReaders;
     FeedHosts m_feedHosts;
     std::function<bool()> m_learnsConfigs = [] { return false; };
     std::map<std::string, Peer, std::less<>> m_peers; // By their address for digests.
+    MonotonicTime m_configHeardAt {};
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/recordfeed.cpp
+++ b/src/gateway/recordfeed.cpp
@@ -24,11 +24,26 @@
 
 }
 
-void RecordFeed::took(uint64_t from, std::vector<LogRecord> news, uint64_t nextOffset, MonotonicTime now)
+void RecordFeed::listed(std::span<const LogRecord> records, uint64_t nextOffset, MonotonicTime readAt)
+{
+    restart(nextOffset, readAt);
+    for (const LogRecord& record : records) {
+        if (!record.key.empty())
+            m_newest.insert_or_assign(record.key, record);
+    }
+    m_knowsAll = true;
+}
+
+void RecordFeed::took(uint64_t from, std::vector<LogRecord> news, uint64_t nextOffset, MonotonicTime readAt)
 {
     if (from != m_next)
-        restart(from, now);
+        restart(from, readAt);
     for (LogRecord& record : news) {
+        bool isGone = record.isReadable && !record.value;
+        if (isGone)
+            m_newest.erase(record.key);
+        else if (!record.key.empty())
+            m_newest.insert_or_assign(record.key, record);
         m_bytes += sizeOf(record);
         m_records.push_back(std::move(record));
     }
@@ -38,25 +53,35 @@
         m_records.pop_front();
     }
     m_next = nextOffset;
-    m_readAt = now;
+    m_readAt = readAt;
 }
 
-void RecordFeed::restart(uint64_t nextOffset, MonotonicTime now)
+void RecordFeed::restart(uint64_t nextOffset, MonotonicTime readAt)
 {
     m_records.clear();
+    m_newest.clear();
+    m_knowsAll = false;
     m_bytes = 0;
     m_first = nextOffset;
     m_next = nextOffset;
-    m_readAt = now;
+    m_readAt = readAt;
 }
 
 std::optional<RecordBatch> RecordFeed::from(uint64_t offset, MonotonicTime now) const
 {
-    if (!m_readAt || offset < m_first)
+    bool isKept = offset >= m_first;
+    if (!m_readAt || (!isKept && !m_knowsAll))
         return std::nullopt;
     RecordBatch batch;
     batch.nextOffset = std::max(offset, m_next);
     batch.age = std::chrono::ceil<Milliseconds>(now - *m_readAt);
+    if (!isKept) {
+        batch.isListing = true;
+        for (const auto& [key, record] : m_newest)
+            batch.records.push_back(record);
+        std::ranges::sort(batch.records, {}, &LogRecord::offset);
+        return batch;
+    }
     std::ranges::copy_if(
         m_records, std::back_inserter(batch.records), [&](const LogRecord& record) { return record.offset >= offset; });
     return batch;
@@ -74,9 +99,9 @@
             entry["bad"] = true;
         records.push_back(std::move(entry));
     }
-    auto bytes = json::to_cbor(
-        json { { "records", std::move(records) }, { "next", batch.nextOffset }, { "age_ms", batch.age.count() },
-            { "config", batch.configVersion }, { "served_ms", batch.storeServedFor.count() } });
+    auto bytes = json::to_cbor(json { { "records", std::move(records) }, { "next", batch.nextOffset },
+        { "age_ms", batch.age.count() }, { "list", batch.isListing }, { "config", batch.configVersion },
+        { "config_age_ms", batch.configAge.count() }, { "served_ms", batch.storeServedFor.count() } });
     return { bytes.begin(), bytes.end() };
 }
 
@@ -87,7 +112,9 @@
         RecordBatch batch;
         batch.nextOffset = document.at("next").get<uint64_t>();
         batch.age = Milliseconds(document.at("age_ms").get<int64_t>());
-        batch.configVersion = document.value("config", uint64_t(0));
+        batch.isListing = document.value("list", false);
+        batch.configVersion = document.at("config").get<uint64_t>();
+        batch.configAge = Milliseconds(document.at("config_age_ms").get<int64_t>());
         batch.storeServedFor = Milliseconds(document.at("served_ms").get<int64_t>());
         for (const auto& entry : document.at("records")) {
             LogRecord record;
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -14,6 +14,10 @@
     // What follows the head of an answer: many versions of a long text, over a link that callers use too.
     constexpr Milliseconds bodyTimeout { 1500 };
     constexpr Milliseconds notWantedPause { 200 };
+    // Until other nodes are asked in place of the store once more: a few digests may tell of further ones.
+    constexpr Milliseconds askPeersAgainAfter { 150 };
+    // Records from the end of an older listing on may have expired.
+    constexpr Milliseconds longestListing { 15'000 };
     // Peers are read every half second.
     constexpr Milliseconds peerReadLasts { 1500 };
     // A node that the store turned away hears the rest from its peers meanwhile.
@@ -61,57 +65,95 @@
         if (!m_isWanted()) {
             // What came meanwhile is of no use but for the newest.
             m_isListed = false;
+            m_listing.reset();
             co_await pause(notWantedPause);
             continue;
         }
-        bool isListing = m_pace.isKeyed && !m_isListed;
-        bool isStoreDue = m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
-        bool isDone = !isListing && !isStoreDue && co_await readFromPeer();
-        if (!isDone)
-            isDone = isListing ? co_await listNewest() : co_await readOn();
-        if (!isDone)
-            co_await pause(m_reads.failed(m_context.draw()));
-        else if (m_pace.pauseAfter.count() > 0)
-            co_await pause(m_pace.pauseAfter);
+        Outcome outcome = co_await readOnce();
+        Milliseconds rest = m_listing ? Milliseconds(0) : m_pace.pauseAfter;
+        if (outcome == Outcome::Failed)
+            rest = m_reads.failed(m_context.draw());
+        else if (outcome == Outcome::AskPeersAgain)
+            rest = askPeersAgainAfter;
+        if (rest.count() > 0)
+            co_await pause(rest);
     }
 }
 
+asio::awaitable<LogFollower::Outcome> LogFollower::readOnce()
+{
+    bool isStoreDue = m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
+    if (m_readFromPeer && !isStoreDue) {
+        PeerRead read = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
+        if (read.batch && takeBatch(std::move(*read.batch)))
+            co_return Outcome::Done;
+        if (!read.batch && !read.mayReadStore)
+            co_return Outcome::AskPeersAgain;
+    }
+    bool isListing = m_pace.isKeyed && !m_isListed;
+    bool isDone = false;
+    if (isListing)
+        isDone = co_await listNewest();
+    else
+        isDone = co_await readOn();
+    co_return isDone ? Outcome::Done : Outcome::Failed;
+}
+
+// Page by page; one that fails is asked for again, as a long list over a small link may take several tries. Between
+// pages of a long list a node that can read from another one goes over to that.
 asio::awaitable<bool> LogFollower::listNewest()
 {
-    // Pages are no snapshot: what changes between them is read again from where the log ended at the first.
-    std::optional<uint64_t> end;
-    std::string after;
-    std::vector<LogRecord> records;
-    for (bool hasMore = true; hasMore;) {
-        m_context.metrics.count("store_calls_total{kind=\"newest\"}");
-        MonotonicTime askedAt = m_context.now();
-        auto answer = co_await m_context.pool.exchange(m_context.settings.store,
-            m_context.platform.readNewest(m_log, after), m_reads.listingPatience(), Step::LogRead, bodyTimeout);
-        auto* response = std::get_if<HttpResponse>(&answer);
-        auto page = response ? m_context.platform.newestPage(*response) : Settled<LogPage>(std::get<Error>(answer));
-        if (auto* error = std::get_if<Error>(&page)) {
-            readFailed(*error, askedAt);
-            co_return false;
-        }
-        auto& found = std::get<LogPage>(page);
-        end = end.value_or(found.nextOffset);
-        hasMore = found.hasMore && !found.records.empty();
-        for (const LogRecord& record : found.records)
-            after = record.key.empty() ? after : record.key;
-        std::ranges::move(found.records, std::back_inserter(records));
+    if (m_listing && m_context.now() - m_listing->begunAt > longestListing)
+        m_listing.reset();
+    m_storeTriedAt = m_context.now();
+    auto hasMore = co_await listPage();
+    if (!hasMore)
+        co_return false;
+    if (*hasMore)
+        co_return true;
+    // Pages are no snapshot: what changed between them is read again from where the log ended at the first.
+    std::ranges::sort(m_listing->records, {}, &LogRecord::offset);
+    takeListing(std::move(m_listing->records), m_listing->end, m_context.now());
+    co_return true;
+}
+
+// Adds the next page to the listing; whether there are more, or nothing if it failed.
+asio::awaitable<std::optional<bool>> LogFollower::listPage()
+{
+    m_context.metrics.count("store_calls_total{kind=\"newest\"}");
+    MonotonicTime askedAt = m_context.now();
+    std::string after = m_listing ? m_listing->after : std::string();
+    auto answer = co_await m_context.pool.exchange(m_context.settings.store,
+        m_context.platform.readNewest(m_log, after), m_reads.listingPatience(), Step::LogRead, bodyTimeout);
+    auto* response = std::get_if<HttpResponse>(&answer);
+    auto page = response ? m_context.platform.newestPage(*response) : Settled<LogPage>(std::get<Error>(answer));
+    if (auto* error = std::get_if<Error>(&page)) {
+        readFailed(*error, askedAt);
+        co_return std::nullopt;
     }
     m_health.answered();
-    std::ranges::sort(records, {}, &LogRecord::offset);
+    auto& found = std::get<LogPage>(page);
+    if (!m_listing)
+        m_listing = Listing { m_context.now(), found.nextOffset, {}, {} };
+    bool hasMore = found.hasMore && !found.records.empty();
+    for (const LogRecord& record : found.records)
+        m_listing->after = record.key.empty() ? m_listing->after : record.key;
+    std::ranges::move(found.records, std::back_inserter(m_listing->records));
+    co_return hasMore;
+}
+
+void LogFollower::takeListing(std::vector<LogRecord> records, uint64_t nextOffset, MonotonicTime readAt)
+{
+    m_listing.reset();
     m_handlers.beginListing();
     for (const LogRecord& record : records)
         m_handlers.record(record);
     m_handlers.endListing();
-    m_next = *end;
-    m_feed.restart(m_next, m_context.now());
+    m_next = nextOffset;
+    m_feed.listed(records, m_next, readAt);
     m_isListed = true;
-    m_heardAt = m_context.now();
     m_reads.answered();
-    co_return true;
+    m_heardAt = std::max(m_heardAt.value_or(readAt), readAt);
 }
 
 asio::awaitable<bool> LogFollower::readOn()
@@ -164,19 +206,24 @@
     return records;
 }
 
-asio::awaitable<bool> LogFollower::readFromPeer()
+// False if it does not go on from what this node has.
+bool LogFollower::takeBatch(RecordBatch batch)
 {
-    if (!m_readFromPeer)
-        co_return false;
-    auto batch = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
-    if (!batch)
-        co_return false;
+    if (!m_isListed && !batch.isListing)
+        return false;
+    MonotonicTime readAt = m_context.now() - batch.age;
     m_peerReadAt = m_context.now();
-    m_health.servesPeerSince(m_context.now() - batch->storeServedFor);
-    // A node that becomes a reader hands on what it has from here on only.
-    takeRecords(std::move(batch->records), batch->nextOffset);
-    m_heardAt = m_context.now() - batch->age;
-    co_return true;
+    m_health.servesPeerSince(m_context.now() - batch.storeServedFor);
+    if (batch.isListing) {
+        takeListing(std::move(batch.records), batch.nextOffset, readAt);
+        return true;
+    }
+    uint64_t from = m_next;
+    auto news = takeRecords(std::move(batch.records), batch.nextOffset);
+    m_heardAt = std::max(m_heardAt.value_or(readAt), readAt);
+    // Whoever sees this node as a reader, as it hears of few others yet, reads on here as well.
+    m_feed.took(from, std::move(news), m_next, *m_heardAt);
+    return true;
 }
 
 bool LogFollower::isReadByPeer() const { return m_peerReadAt && m_context.now() - *m_peerReadAt < peerReadLasts; }
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -50,9 +50,13 @@
         bool isKeyed = true;
     };
 
-    // Reads on from another node in place of the store; nothing if no node can be asked or none answers in time. A node
-    // that the store turns away asks all that read it.
-    using ReadFromPeer = std::function<asio::awaitable<std::optional<RecordBatch>>(uint64_t from, bool isTurnedAway)>;
+    // What another node gave in place of the store: from there on, or a listing where it does not keep that.
+    struct PeerRead {
+        std::optional<RecordBatch> batch; // Nothing if no node can be asked or none answers in time.
+        bool mayReadStore = true; // Else other nodes are to be asked again.
+    };
+    // A node that the store turns away asks all that read it.
+    using ReadFromPeer = std::function<asio::awaitable<PeerRead>(uint64_t from, bool isTurnedAway)>;
 
     LogFollower(GatewayContext&, StoreHealth&, LogName, Pace, Handlers);
     void readFromPeers(ReadFromPeer read) { m_readFromPeer = std::move(read); }
@@ -69,9 +73,25 @@
     std::optional<MonotonicTime> heardAt() const { return m_heardAt; }
 
 private:
+    // Pages of the newest records that the store gave so far.
+    struct Listing {
+        MonotonicTime begunAt;
+        uint64_t end = 0; // Where the log ended at the first page.
+        std::string after; // The last key.
+        std::vector<LogRecord> records;
+    };
+    enum class Outcome : uint8_t {
+        Done,
+        Failed,
+        AskPeersAgain,
+    };
+
+    asio::awaitable<Outcome> readOnce();
     asio::awaitable<bool> listNewest();
+    asio::awaitable<std::optional<bool>> listPage();
     asio::awaitable<bool> readOn();
-    asio::awaitable<bool> readFromPeer();
+    bool takeBatch(RecordBatch);
+    void takeListing(std::vector<LogRecord>, uint64_t nextOffset, MonotonicTime readAt);
     std::vector<LogRecord> takeRecords(std::vector<LogRecord>, uint64_t nextOffset);
     void readFailed(const Error&, MonotonicTime askedAt);
 
@@ -85,6 +105,7 @@
     RecordFeed m_feed;
     uint64_t m_next = 0;
     bool m_isListed = false;
+    std::optional<Listing> m_listing; // Under way.
     LogReads m_reads;
     MonotonicTime m_storeTriedAt {};
     std::optional<MonotonicTime> m_heardAt;
--- /dev/null
+++ b/tests/gateway/listreaders_test.cpp
@@ -0,0 +1,199 @@
+#include "fleet/listreaders.h"
+
+#include "base/random.h"
+#include "gateway/recordfeed.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace Kumquatpick {
+
+namespace {
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+    constexpr Milliseconds step { 50 };
+    constexpr Milliseconds readEvery { 450 };
+    constexpr Milliseconds longestAge { 1000 };
+
+    // One zone of a fleet of 300 nodes and 3,000 hosts, whose heartbeats are the records of the list. Nodes hear of
+    // each other by and by, as digests go round, and of the strong ones no sooner than of others.
+    class Zone {
+    public:
+        static constexpr int nodes = 100;
+        static constexpr int strongNodes = 8;
+        static constexpr uint64_t recordsPerSecond = 2500;
+        static constexpr double knownPerSecond = 21;
+
+        Zone()
+        {
+            for (int i = 0; i < nodes; ++i)
+                m_nodes.emplace_back(fmt::format("10.1.0.{}:7000", i), i < strongNodes ? 0.5 : 0.12, m_random);
+            for (Node& node : m_nodes) {
+                for (int other = 0; other < nodes; ++other)
+                    node.hearing.push_back(other);
+                std::ranges::shuffle(node.hearing, m_random);
+            }
+        }
+
+        // Most nodes that turned to the store within one second, until then.
+        int run(Milliseconds duration)
+        {
+            int most = 0;
+            for (MonotonicTime end = now + duration; now < end; now += step) {
+                if ((now - start) % std::chrono::seconds(1) == MonotonicTime::duration(0))
+                    m_atStore.clear();
+                for (int i = 0; i < nodes; ++i) {
+                    if (m_nodes[static_cast<size_t>(i)].nextRead <= now)
+                        read(i);
+                }
+                most = std::max(most, static_cast<int>(m_atStore.size()));
+            }
+            return most;
+        }
+
+        void kill(const std::string& address) { m_dead.insert(address); }
+        std::vector<std::string> readers() const
+        {
+            return ListReaders("").readersOf(known(m_nodes.back(), start + std::chrono::hours(1)), now);
+        }
+        // The oldest of what live nodes know.
+        Milliseconds oldest() const
+        {
+            MonotonicTime::duration age {};
+            for (const Node& node : m_nodes) {
+                if (!m_dead.contains(node.self.address))
+                    age = std::max(age, now - node.heardAt);
+            }
+            return std::chrono::ceil<Milliseconds>(age);
+        }
+
+        MonotonicTime now = start;
+
+    private:
+        struct Node {
+            Node(const std::string& address, double cpuShare, Random& random)
+                : self { address, cpuShare }
+                , readers(address)
+                , nextRead(start + Milliseconds(random() % 450))
+            {
+            }
+
+            DutyNode self;
+            ListReaders readers;
+            RecordFeed feed;
+            uint64_t next = 0;
+            MonotonicTime nextRead;
+            MonotonicTime heardAt = start;
+            std::vector<int> hearing; // Of whom it hears in which order.
+        };
+
+        uint64_t logEnd() const { return static_cast<uint64_t>(toSeconds(now - start) * recordsPerSecond); }
+
+        std::vector<DutyNode> known(const Node& node, MonotonicTime at) const
+        {
+            auto count = static_cast<size_t>(1 + toSeconds(at - start) * knownPerSecond);
+            std::vector<DutyNode> result { node.self };
+            for (size_t i = 0; i < std::min<size_t>(count, nodes); ++i) {
+                const DutyNode& other = m_nodes[static_cast<size_t>(node.hearing[i])].self;
+                if (other.address != node.self.address)
+                    result.push_back(other);
+            }
+            return result;
+        }
+
+        void read(int index)
+        {
+            Node& node = m_nodes[static_cast<size_t>(index)];
+            node.nextRead = now + readEvery;
+            if (m_dead.contains(node.self.address))
+                return;
+            auto toAsk = node.readers.toAsk(known(node, now), now);
+            bool didAnyAnswer = false;
+            for (const std::string& address : toAsk) {
+                if (takeFrom(node, address))
+                    return node.readers.isServed();
+                if (hasNoList(address))
+                    didAnyAnswer = true;
+                else
+                    node.readers.failed(address, now);
+            }
+            if (!toAsk.empty() && !node.readers.mayReadStore(didAnyAnswer, now)) {
+                node.nextRead = now + Milliseconds(150);
+                return;
+            }
+            m_atStore.insert(node.self.address);
+            node.feed.took(node.next, {}, logEnd(), now);
+            node.next = logEnd();
+            node.heardAt = now;
+        }
+
+        const Node& nodeAt(const std::string& address) const
+        {
+            return *std::ranges::find(m_nodes, address, [](const Node& n) { return n.self.address; });
+        }
+
+        bool hasNoList(const std::string& address) const
+        {
+            return !m_dead.contains(address) && !nodeAt(address).feed.from(0, now);
+        }
+
+        bool takeFrom(Node& node, const std::string& address)
+        {
+            const Node& other = nodeAt(address);
+            auto batch = m_dead.contains(address) ? std::nullopt : other.feed.from(node.next, now);
+            if (!batch || batch->age > longestAge)
+                return false;
+            node.heardAt = std::max(node.heardAt, now - batch->age);
+            node.feed.took(node.next, {}, batch->nextOffset, node.heardAt);
+            node.next = batch->nextOffset;
+            return true;
+        }
+
+        Random m_random { 1 }; // Before the nodes, which draw from it.
+        std::vector<Node> m_nodes;
+        std::set<std::string> m_dead;
+        std::set<std::string> m_atStore; // In this second.
+    };
+
+}
+
+// All nodes of a fleet of 300 start in the same moment. The store sends 80 MB a second, the heartbeats of 3,000 hosts
+// are 1.2: more than some sixty nodes of three zones that read them there, and it answers nobody in time. Nodes that
+// are taken for readers by who does not know better ones yet must hand on what they read at these.
+TEST(ListReaders, FewNodesReadTheStoreWhileAFleetGetsToKnowItself)
+{
+    Zone zone;
+    zone.run(Milliseconds(2000));
+    EXPECT_LE(zone.run(Milliseconds(13'000)), 15) << "of a hundred nodes of the zone, in any second";
+    EXPECT_LE(zone.oldest(), Milliseconds(2000));
+}
+
+// Both readers end at once. A fleet of this size hears of it up to ten seconds later.
+TEST(ListReaders, OthersTakeThePlaceOfReadersThatEnd)
+{
+    Zone zone;
+    zone.run(Milliseconds(15'000));
+    for (const std::string& reader : zone.readers())
+        zone.kill(reader);
+    EXPECT_LE(zone.run(Milliseconds(10'000)), 15);
+    EXPECT_LE(zone.oldest(), Milliseconds(2000));
+}
+
+TEST(ListReaders, ANodeCutOffFromItsZoneTurnsToTheStore)
+{
+    ListReaders readers("self");
+    std::vector<DutyNode> zone { { "self", 0.1 }, { "a", 0.5 }, { "b", 0.5 }, { "c", 0.5 } };
+    EXPECT_EQ(readers.toAsk(zone, start).size(), 2u);
+    EXPECT_FALSE(readers.mayReadStore(false, start));
+    for (const char* node : { "a", "b", "c" })
+        readers.failed(node, start + Milliseconds(300));
+    EXPECT_TRUE(readers.toAsk(zone, start + Milliseconds(400)).empty()) << "it is the only one that is left";
+    EXPECT_TRUE(readers.mayReadStore(false, start + Milliseconds(1100)));
+    EXPECT_FALSE(readers.mayReadStore(true, start + Milliseconds(1100))) << "others are there, and about to have it";
+    EXPECT_TRUE(readers.mayReadStore(true, start + Milliseconds(4000)));
+    readers.isServed();
+    EXPECT_FALSE(readers.mayReadStore(false, start + Milliseconds(4100)));
+}
+
+} // namespace Kumquatpick
--- a/tests/gateway/recordfeed_test.cpp
+++ b/tests/gateway/recordfeed_test.cpp
@@ -83,6 +83,25 @@
     EXPECT_EQ(batch->records.size(), 100u);
 }
 
+// A node that starts, or that lags behind what is kept, gets the whole list here rather than from the store.
+TEST(RecordFeed, GivesAllToWhoLagsOrKnowsNothing)
+{
+    RecordFeed feed;
+    feed.listed(records(40, 5), 60, start);
+    std::vector<LogRecord> news = records(60, 1, "changed");
+    news.push_back({ "host-1", std::nullopt, 61, true });
+    feed.took(60, news, 62, start);
+    auto batch = feed.from(0, start + Milliseconds(100));
+    ASSERT_TRUE(batch);
+    EXPECT_TRUE(batch->isListing);
+    EXPECT_EQ(batch->nextOffset, 62u);
+    ASSERT_EQ(batch->records.size(), 4u) << "one of the five is gone";
+    EXPECT_EQ(batch->records.back().value, "changed");
+    EXPECT_FALSE(feed.from(60, start)->isListing);
+    feed.took(70, {}, 71, start);
+    EXPECT_FALSE(feed.from(0, start)) << "records between were not read";
+}
+
 RC_GTEST_PROP(
     RecordFeed, ComesBackAsItWasWhateverTheBytes, (const std::string& key, const std::string& value, bool isGone))
 {
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -317,6 +317,33 @@
     EXPECT_TRUE(answers());
 }
 
+// It starts while the store turns it away: its peer has the list of hosts as well as the configuration.
+TEST_F(GatewayTest, StartsWithTheListOfItsPeer)
+{
+    startServing(0, 1);
+    StandinDoor door(m_store);
+    door.turnsAway = true;
+    TestNode second("node-2", door.address(), m_node->peers().toString());
+    httplib::Client client("127.0.0.1", second.callers().port);
+    EXPECT_TRUE(eventually([&] {
+        auto answer = client.Post("/again/x", headers(), "hello", "text/plain");
+        return answer && answer->status == 200;
+    }));
+}
+
+// After the time in which a change must be in force, a node that heard nothing can't tell what does not exist.
+TEST_F(GatewayTest, RefusesNothingAsUnknownByAnOldConfiguration)
+{
+    startServing(0, 1);
+    EXPECT_EQ(status("/nowhere/x"), 404);
+    m_store.isSilent = true;
+    EXPECT_TRUE(eventually([&] { return status("/nowhere/x") == 503; }));
+    EXPECT_EQ(status("/again/x", "no such key"), 503);
+    EXPECT_EQ(status("/again/x"), 200) << "what it knows it serves";
+    m_store.isSilent = false;
+    EXPECT_TRUE(eventually([&] { return status("/nowhere/x") == 404; }));
+}
+
 // Callers were served by old versions of the configuration, over two seconds after the store had accepted newer ones.
 // The store had been silent for 6 s and had served every call for 3 s since.
 TEST_F(GatewayTest, HasAVersionInTimeAfterTheStoreWasSilent)
