Leave the store alone where others read it, also after a failed read

Change: that second try is for readers, and for nodes that may turn to the store; a zone that answers has six seconds to get its list. No test in event time covers this one yet: the follower that makes the reads has input and output of its own.

--- a/src/fleet/listreaders.cpp
+++ b/src/fleet/listreaders.cpp
@@ -13,7 +13,7 @@
     // Some rounds of questions; and a leaving host may get work for two seconds.
     constexpr Milliseconds readStoreAfter { 1000 };
     // What readers need to list some thousand hosts from a store that a whole fleet has just turned to.
-    constexpr Milliseconds readersNeed { 4000 };
+    constexpr Milliseconds readersNeed { 6000 };
 
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -290,6 +290,7 @@
         m_listReaders.isServed();
         co_return LogFollower::PeerRead {};
     }
+    bool isReader = m_listReaders.toAsk(nodesOf(m_context.settings.zone), m_context.now()).empty();
     bool didAnyAnswer = false;
     for (const std::string& reader : readers) {
         auto answer = co_await readHostsAt(reader, from);
@@ -305,13 +306,12 @@
             m_configHeardAt = std::max(m_configHeardAt, m_context.now() - batch->configAge);
             m_catchUp.heard(reader, true, batch->configVersion, m_context.now());
             askForNewerConfig();
-            co_return LogFollower::PeerRead { std::move(*batch), false };
+            co_return LogFollower::PeerRead { std::move(*batch), isReader };
         }
         m_listReaders.failed(reader, m_context.now());
         m_context.log.write(
             "reader_failed", { { "peer", reader }, { "from", from }, { "age_ms", batch ? batch->age.count() : -1 } });
     }
-    bool isReader = m_listReaders.toAsk(nodesOf(m_context.settings.zone), m_context.now()).empty();
     bool mayReadStore = isReader || m_listReaders.mayReadStore(didAnyAnswer, m_context.now());
     co_return LogFollower::PeerRead { std::nullopt, mayReadStore };
 }
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -82,9 +82,12 @@
 
 asio::awaitable<LogFollower::Outcome> LogFollower::readOnce()
 {
-    bool isStoreDue = m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
+    // Not where others read the store: after a power failure all nodes of a large fleet fail there once, and would keep
+    // it from answering anybody.
+    bool isStoreDue = m_mayReadStore && m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
     if (m_readFromPeer && !isStoreDue) {
         PeerRead read = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
+        m_mayReadStore = read.mayReadStore;
         if (read.batch && takeBatch(std::move(*read.batch)))
             co_return Outcome::Done;
         if (!read.batch && !read.mayReadStore)
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -53,7 +53,7 @@
     // What another node gave in place of the store: from there on, or a listing where it does not keep that.
     struct PeerRead {
         std::optional<RecordBatch> batch; // Nothing if no node can be asked or none answers in time.
-        bool mayReadStore = true; // Else other nodes are to be asked again.
+        bool mayReadStore = true; // Else only other nodes are to be asked.
     };
     // A node that the store turns away asks all that read it.
     using ReadFromPeer = std::function<asio::awaitable<PeerRead>(uint64_t from, bool isTurnedAway)>;
@@ -105,6 +105,7 @@
     RecordFeed m_feed;
     uint64_t m_next = 0;
     bool m_isListed = false;
+    bool m_mayReadStore = true; // By the latest PeerRead.
     std::optional<Listing> m_listing; // Under way.
     LogReads m_reads;
     MonotonicTime m_storeTriedAt {};
