Let a node that starts list the hosts at the store again, and ask others only after three failures

When all nodes start in one moment nobody has the list, and waiting for a zone that has none takes longer than the store does. So starting goes back to the standing way, page by page, and only a node that failed three times asks others. Not traced further.

--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -16,6 +16,9 @@
     constexpr Milliseconds notWantedPause { 200 };
     // Until other nodes are asked in place of the store once more: a few digests may tell of further ones.
     constexpr Milliseconds askPeersAgainAfter { 150 };
+    // A node that starts lists at the store: when all start in one moment, nobody has the list and few know whom to
+    // ask. After so many failures it asks other nodes, as the store turns it away.
+    constexpr int failuresBeforePeersList = 3;
     // Records from the end of an older listing on may have expired.
     constexpr Milliseconds longestListing { 15'000 };
     // Peers are read every half second.
@@ -85,7 +88,8 @@
     // Not where others read the store: after a power failure all nodes of a large fleet fail there once, and would keep
     // it from answering anybody.
     bool isStoreDue = m_mayReadStore && m_reads.failures() > 0 && m_context.now() - m_storeTriedAt > tryStoreAgainAfter;
-    if (m_readFromPeer && !isStoreDue) {
+    bool triesPeers = m_isListed || m_reads.failures() >= failuresBeforePeersList;
+    if (m_readFromPeer && triesPeers && !isStoreDue) {
         PeerRead read = co_await m_readFromPeer(m_next, m_reads.failures() > 0);
         m_mayReadStore = read.mayReadStore;
         if (read.batch && takeBatch(std::move(*read.batch)))
@@ -102,8 +106,7 @@
     co_return isDone ? Outcome::Done : Outcome::Failed;
 }
 
-// Page by page; one that fails is asked for again, as a long list over a small link may take several tries. Between
-// pages of a long list a node that can read from another one goes over to that.
+// Page by page; one that fails is asked for again, as a long list over a small link may take several tries.
 asio::awaitable<bool> LogFollower::listNewest()
 {
     if (m_listing && m_context.now() - m_listing->begunAt > longestListing)
