Revert "Send calls that a silent replica never began elsewhere, and tell a queue from silence by what arrives at any node"

It gains where places are free and loses where they are short. Seven nodes don't tell each other what arrives, so a queue looks like silence there; at sixty nodes they do, and it loses all the same, which is not traced (an avoided replica takes its places out of a fleet that has none to spare).

--- a/src/fleet/mechanism.h
+++ b/src/fleet/mechanism.h
@@ -23,13 +23,12 @@
     StoreReaders, // A few nodes of a zone read the list of hosts for the others.
     ControlCandidates, // A few nodes follow the controller's log and may take over.
     LoadExchange, // One node of a zone adds up what its nodes have in flight.
-    SilentCut, // Calls that a silent replica never began are sent elsewhere.
     LargerFirst, // Hosts that a larger model lacks don't join a smaller one that has enough.
 };
 
 inline constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
     "return-order", "early-refusal", "return-spread", "relayed-probes", "conditional-joins", "store-readers",
-    "control-candidates", "load-exchange", "silent-cut", "larger-first" };
+    "control-candidates", "load-exchange", "larger-first" };
 
 // Those that are switched off.
 class MechanismsOff {
--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -20,19 +20,14 @@
 // A call in progress as those see it who may have to cut it off: the watch on the caller, the clock, and what watches
 // the replicas. Cutting closes the connection to the backend server, which ends its work there.
 struct ActiveCall {
-    ActiveCall(asio::ip::tcp::socket& callerSocket, const asio::any_io_executor& executor, uint64_t callNumber)
-        : number(callNumber)
-        , caller(callerSocket)
+    ActiveCall(asio::ip::tcp::socket& callerSocket, const asio::any_io_executor& executor)
+        : caller(callerSocket)
         , timer(executor)
     {
     }
 
-    const uint64_t number; // Of this node's calls.
     asio::ip::tcp::socket& caller;
     asio::steady_timer timer;
-    std::string service;
-    std::string model; // Empty for a plain service.
-    bool mayMove = false; // The present send has not begun, and another one may follow.
     std::string hostId; // Of the backend server that has the call now; empty if none.
     beast::tcp_stream* backend = nullptr;
     CallEnd end = CallEnd::None;
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -36,7 +36,7 @@
     , m_routes(context.routes)
     , m_arrived(context.now())
     , m_deadline(m_arrived + m_call.patience.value_or(noPatienceGiven))
-    , m_active(std::make_shared<ActiveCall>(caller.socket(), caller.get_executor(), ++context.callsTaken))
+    , m_active(std::make_shared<ActiveCall>(caller.socket(), caller.get_executor()))
     , m_events(m_call.resumeAfter)
 {
     m_context.calls.insert(m_active);
@@ -89,8 +89,6 @@
     m_servesModels = service && service->servesModels();
     if (!m_servesModels)
         m_call.model.clear();
-    m_active->service = m_service;
-    m_active->model = m_call.model;
     return true;
 }
 
@@ -211,6 +209,8 @@
     return response;
 }
 
+// Spread, so that those refused together don't return together; a caller does not wait for longer than a third of
+// the time that it has left.
 // A node that is behind can't tell what does not exist from what it has not heard of; another node can.
 HttpResponse CallForwarder::notConfigured(http::status status, std::string_view reason)
 {
@@ -220,8 +220,6 @@
     return refusal(http::status::service_unavailable, "the configuration here may be out of date", comeBackIn());
 }
 
-// Spread, so that those refused together don't return together; a caller does not wait for longer than a third of
-// the time that it has left.
 Milliseconds CallForwarder::comeBackIn()
 {
     double draw = m_context.off.contains(Mechanism::ReturnSpread) ? 0.5 : m_context.draw();
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -69,13 +69,8 @@
         auto connection = std::move(std::get<0>(acquired));
         if (m_active->end == CallEnd::None) {
             m_active->backend = &connection->stream;
-            // The last try is not spent on a guess: it waits for as long as its caller does.
-            m_active->mayMove = mayRepeat() && !m_headPassed && m_runs + 1 < m_route->maxAttempts;
-            m_context.firstEvents.sent(m_active->number, hostId, m_servesModels ? m_call.model : m_service, begun);
             outcome = co_await sendOver(*connection);
-            m_active->mayMove = false;
             m_active->backend = nullptr;
-            m_context.firstEvents.ended(m_active->number, m_active->end != CallEnd::None, m_context.now());
         }
         if (outcome == SendOutcome::Answered || (outcome == SendOutcome::NotRun && m_mayReuseConnection))
             m_context.pool.release(std::move(connection));
@@ -124,20 +119,6 @@
     co_return co_await readReply(connection);
 }
 
-// Something came from the present host.
-void CallForwarder::noteProgress()
-{
-    m_context.balancer.progressed(m_hostId, m_context.now());
-    m_context.firstEvents.arrived(m_hostId, m_context.now());
-}
-
-// The present host works on the call.
-void CallForwarder::noteBegun()
-{
-    m_active->mayMove = false;
-    m_context.firstEvents.began(m_active->number, m_context.now());
-}
-
 // The head of this call's own answer. A late answer to an earlier request may lie before it.
 asio::awaitable<bool> CallForwarder::readOwnHead(
     PeerConnection& connection, std::unique_ptr<BodyParser>& parser, Reply& reply)
@@ -183,13 +164,11 @@
     Reply reply;
     if (!co_await readOwnHead(connection, parser, reply))
         co_return SendOutcome::Broken;
-    noteProgress();
+    m_context.balancer.progressed(m_hostId, m_context.now());
     bool isStream = m_route->streaming && reply.status == 200 && reply.isSigned && reply.isWhole;
     if (isStream)
         co_return co_await passStream(connection, *parser);
 
-    if (!reply.notRun)
-        noteBegun();
     std::string body;
     bool keepsConnection = parser->keep_alive();
     bool isWhole = co_await readBody(connection, *parser, body);
@@ -247,11 +226,10 @@
         auto [error, read] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
         size_t count = bytes.size() - parser.get().body().size;
         if (count > 0)
-            noteProgress();
+            m_context.balancer.progressed(m_hostId, m_context.now());
         std::string events = m_events.take({ bytes.data(), count });
         if (!isWriting && m_events.events() > eventsBefore) {
             isWriting = true;
-            noteBegun();
             m_context.balancer.writing(m_hostId, 1);
         }
         if (!events.empty() && !co_await writeEvents(parser.get().base(), std::move(events)))
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -3,7 +3,6 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "fleet/balancer.h"
-#include "fleet/firstevents.h"
 #include "fleet/hosttable.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
@@ -56,7 +55,6 @@
     HostTable hosts;
     ConnectionPool pool;
     Balancer balancer;
-    FirstEvents firstEvents;
     RetryAllowance retries;
     Metrics metrics;
     LoopPauses pauses;
@@ -67,14 +65,13 @@
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
     std::map<std::string, PatienceProfile, std::less<>> patience; // Of the callers of a route, by its name.
-    uint64_t callsTaken = 0;
     bool anyCallSeen = false;
     bool isStopping = false;
-    // No newer configuration can be in force, as far as it must be known here: what it lacks does not exist.
-    bool isConfigCurrent = false;
     bool hostsListed = false; // The list of backend servers was read once.
 
     // Addresses of hosts, also of those that were listed a while ago.
+    // No newer configuration can be in force, as far as it must be known here: what it lacks does not exist.
+    bool isConfigCurrent = false;
     std::map<Address, MonotonicTime> hostAddresses;
     bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,7 +25,6 @@
     constexpr size_t peersPerTick = 16;
     constexpr Milliseconds tellStandingStillFor { 700 };
     constexpr Milliseconds avoidOnHearsay { 800 };
-    constexpr Milliseconds avoidSilent { 1500 };
     // A refused call would have held its place for about as long as a usual answer takes.
     constexpr double secondsPerRefused = 1.5;
     constexpr double waitingGain = 0.05; // Each tick.
@@ -71,8 +70,8 @@
         auto batch = m_hostFollower.feed().from(from, m_context.now());
         if (batch) {
             batch->configVersion = m_context.routes ? m_context.routes->version() : 0;
-            batch->configAge = std::chrono::ceil<Milliseconds>(configAge());
             batch->storeServedFor = std::chrono::floor<Milliseconds>(m_context.now() - m_health.servesSince());
+            batch->configAge = std::chrono::ceil<Milliseconds>(configAge());
         }
         return batch;
     });
@@ -216,12 +215,11 @@
         watchLoop(m_context.now());
         {
             LoopTime::Section section(m_context.loopTime, LoopPart::Upkeep);
-            m_context.isConfigCurrent = isConfigCurrent();
             dropDueHosts();
+            m_context.isConfigCurrent = isConfigCurrent();
             m_context.hosts.expireReports(m_context.now());
             refreshOthersInFlight(tick);
             cutStandingStill();
-            leaveSilentReplicas();
             updateDemand();
             m_context.log.flush();
             if (tick % slowTicks == 0) {
@@ -247,7 +245,6 @@
     if (pause == MonotonicTime::duration(0))
         return;
     m_context.balancer.excusePause(pause, now);
-    m_context.firstEvents.excusePause(pause);
     if (pause > m_longestPause)
         m_longestPause = pause;
     if (pause < longPause)
@@ -355,35 +352,6 @@
     std::erase_if(m_stoodStillAt, [&](const auto& entry) { return now - entry.second > tellStandingStillFor; });
 }
 
-// A replica that never begins what it has: nobody is sent there for a while, its controller is told, and calls that can
-// be served elsewhere are, within what may be repeated.
-void Gateway::leaveSilentReplicas()
-{
-    MonotonicTime now = m_context.now();
-    if (m_context.off.contains(Mechanism::SilentCut))
-        return;
-    for (const FirstEvents::Silence& silence : m_context.firstEvents.silences(now)) {
-        m_context.balancer.suspect(silence.hostId, now + avoidSilent);
-        bool isNews = m_stoodStillAt.insert_or_assign(silence.hostId, now).second;
-        size_t moved = 0;
-        for (const auto& call : m_context.calls) {
-            bool waits = std::ranges::find(silence.calls, call->number) != silence.calls.end();
-            if (!waits || !call->mayMove || m_context.retries.left(call->service, now) < 1)
-                continue;
-            Balancer::Room room = m_context.balancer.room(call->service, call->model, now);
-            if (room.taken >= room.places)
-                continue;
-            call->cutStalledSend();
-            ++moved;
-        }
-        m_context.metrics.count("calls_moved_from_silent_replicas_total", moved);
-        if (!isNews && moved == 0)
-            continue;
-        m_context.log.write(
-            "replica_silent", { { "host", silence.hostId }, { "waiting", silence.calls.size() }, { "moved", moved } });
-    }
-}
-
 void Gateway::updateDemand()
 {
     double perSecond = 1000.0 / static_cast<double>(keepUpPeriod.count());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,7 +56,6 @@
     MonotonicTime::duration configAge() const;
     bool isConfigCurrent() const;
     void cutStandingStill();
-    void leaveSilentReplicas();
     void updateDemand();
     asio::awaitable<void> stopGracefully();
 
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -22,37 +22,26 @@
     constexpr size_t candidates = 2;
     constexpr Milliseconds tryAgainAfter { 2000 };
     constexpr const char* duty = "add-loads";
-    // By which of them a message names its sender.
-    constexpr const char* nodeField = "node";
-    constexpr const char* zoneField = "zone";
 
-    std::string encodeLoads(
-        const char* field, std::string_view name, const LoadsByHost& loads, const ArrivalAges& arrivals)
+    std::string encodeLoads(const char* field, std::string_view name, const LoadsByHost& loads)
     {
-        json ages = json::object();
-        for (const auto& [host, age] : arrivals)
-            ages[host] = age.count();
-        auto bytes = json::to_cbor(json { { field, name }, { "loads", loads }, { "heard_ms", std::move(ages) } });
+        auto bytes = json::to_cbor(json { { field, name }, { "loads", loads } });
         return { bytes.begin(), bytes.end() };
     }
 
-    // What names its sender, by one of two fields, the loads, and how long ago something came from hosts.
+    // What names its sender, by one of two fields, and the loads.
     struct ToldLoads {
         std::string node;
         std::string zone;
         LoadsByHost loads;
-        ArrivalAges arrivals;
     };
 
     std::optional<ToldLoads> decodeLoads(std::string_view bytes)
     {
         try {
             json document = json::from_cbor(bytes.begin(), bytes.end());
-            ToldLoads told { document.value("node", ""), document.value("zone", ""),
-                document.at("loads").get<LoadsByHost>(), {} };
-            for (const auto& [host, age] : document.at("heard_ms").items())
-                told.arrivals.emplace(host, Milliseconds(age.get<int64_t>()));
-            return told;
+            return ToldLoads { document.value("node", ""), document.value("zone", ""),
+                document.at("loads").get<LoadsByHost>() };
         } catch (const json::exception&) {
             return std::nullopt; // Its reader logs it.
         }
@@ -102,21 +91,16 @@
 asio::awaitable<std::optional<LoadsByHost>> LoadExchange::ask(
     std::string peer, const char* field, std::string name, LoadsByHost loads)
 {
-    MonotonicTime askedAt = m_context.now();
-    bool isOfZone = field == zoneField;
     auto address = settle([&] { return Address::parse(peer); });
     HttpRequest request(http::verb::post, target, 11);
-    request.body() = encodeLoads(field, name, loads,
-        isOfZone ? m_context.firstEvents.allArrivals(askedAt) : m_context.firstEvents.ownArrivals(askedAt));
+    request.body() = encodeLoads(field, name, loads);
     request.prepare_payload();
     auto answer
         = co_await m_context.pool.exchange(std::get<Address>(address), std::move(request), callTimeout, Step::Gossip);
     auto* response = std::get_if<HttpResponse>(&answer);
     auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
-    if (told) {
-        takeArrivals(told->arrivals);
+    if (told)
         co_return std::move(told->loads);
-    }
     m_failedAt[peer] = m_context.now();
     m_context.log.write("loads_not_heard",
         { { "peer", peer }, { "of", field },
@@ -126,7 +110,7 @@
 
 asio::awaitable<void> LoadExchange::tell(std::string peer)
 {
-    auto loads = co_await ask(std::move(peer), nodeField, self(), m_context.balancer.inFlight());
+    auto loads = co_await ask(std::move(peer), "node", self(), m_context.balancer.inFlight());
     if (!loads)
         co_return;
     m_others = std::move(*loads);
@@ -150,20 +134,12 @@
 
 asio::awaitable<void> LoadExchange::askZone(std::string zone, std::string peer)
 {
-    auto loads = co_await ask(std::move(peer), zoneField, m_context.settings.zone, m_board.zoneTotal(m_context.now()));
+    auto loads = co_await ask(std::move(peer), "zone", m_context.settings.zone, m_board.zoneTotal(m_context.now()));
     m_asking.erase(zone);
     if (loads)
         m_board.zoneTold(zone, std::move(*loads), m_context.now());
 }
 
-// Their way is not counted in, so they seem younger than they are: then a replica is taken for silent later.
-void LoadExchange::takeArrivals(const ArrivalAges& arrivals)
-{
-    MonotonicTime now = m_context.now();
-    for (const auto& [host, age] : arrivals)
-        m_context.firstEvents.toldArrived(host, now - age);
-}
-
 HttpResponse LoadExchange::answer(const HttpRequest& request)
 {
     LoopTime::Section section(m_context.loopTime, LoopPart::Peers);
@@ -172,19 +148,15 @@
         m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
         return { http::status::bad_request, 11 };
     }
-    takeArrivals(told->arrivals);
     MonotonicTime now = m_context.now();
-    auto arrivals = m_context.firstEvents.allArrivals(now);
     HttpResponse response(http::status::ok, 11);
     if (!told->zone.empty()) {
         m_board.zoneTold(told->zone, std::move(told->loads), now);
-        response.body() = encodeLoads(zoneField, m_context.settings.zone, m_board.zoneTotal(now), arrivals);
+        response.body() = encodeLoads("zone", m_context.settings.zone, m_board.zoneTotal(now));
     } else {
-        // It needs to know only of hosts that have calls of its own.
-        std::erase_if(arrivals, [&](const auto& entry) { return !told->loads.contains(entry.first); });
         m_board.nodeTold(told->node, std::move(told->loads), now);
         m_board.nodeTold(self(), m_context.balancer.inFlight(), now); // Also if this node tells another one.
-        response.body() = encodeLoads(nodeField, self(), m_board.othersOf(told->node, now), arrivals);
+        response.body() = encodeLoads("node", self(), m_board.othersOf(told->node, now));
     }
     return response;
 }
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -30,7 +30,6 @@
     asio::awaitable<void> askZone(std::string zone, std::string peer);
     asio::awaitable<std::optional<LoadsByHost>> ask(std::string peer, const char* field, std::string name, LoadsByHost);
     void askOtherZones();
-    void takeArrivals(const ArrivalAges&);
     std::string self() const;
 
     GatewayContext& m_context;
