Say of each answer which rate its server names

No line told that a backend server named a limit, so that "not read" and "read, and kept by each node for itself" looked alike. server_limit has the call, the host and the rate, server_notices_total counts, and what can't be read has a line of its own. Nothing acts on it yet. The stand-in host names limits and keeps its arrivals.

--- /dev/null
+++ b/src/fleet/servernotice.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace Kumquatpick {
+
+// What a backend server says of itself beside the answer to a request.
+struct ServerNotice {
+    // That it takes from all nodes together; nothing if it names no limit. At least 0.
+    std::optional<double> requestsPerSecond;
+    // What can't be read and is not believed, for the log; empty if all can. It neither names nor lifts anything.
+    std::string unreadable;
+};
+
+} // namespace Kumquatpick
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/servernotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -44,6 +45,7 @@
     bool isSigned = false; // Vouched for by the backend server: its own answer to a request that it ran.
     bool notRun = false; // The backend server promises that it did not and will not run the request.
     bool isElsewhere = false; // The host that was meant is not there, or takes no requests of its replica.
+    ServerNotice notice;
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -59,8 +59,8 @@
     asio::awaitable<SendOutcome> sendOver(PeerConnection&);
     asio::awaitable<SendOutcome> readReply(PeerConnection&);
     asio::awaitable<bool> readOwnHead(PeerConnection&, std::unique_ptr<BodyParser>&, Reply&);
-    void noteProgress();
-    void noteBegun();
+    // What the backend server says of itself beside its answer.
+    void noteServer(const Reply&);
     asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
     asio::awaitable<SendOutcome> passStream(PeerConnection&, BodyParser&);
     asio::awaitable<bool> writeEvents(const ResponseHead&, std::string events);
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -29,6 +29,7 @@
     constexpr int mostForeignAnswers = 3;
     constexpr uint64_t largestAnswer = 64 << 20;
     constexpr size_t readBytes = 16 * 1024;
+    constexpr size_t longestNoticeLogged = 80; // Characters.
     // An idempotent call to a plain service tries another server once this one took several times its target.
     constexpr int patienceInTargets = 3;
     constexpr Milliseconds leastTry { 200 };
@@ -142,6 +143,27 @@
     co_return false;
 }
 
+// Another life at the address speaks for itself, not for the host that was meant.
+void CallForwarder::noteServer(const Reply& reply)
+{
+    if (reply.isElsewhere)
+        return;
+    const ServerNotice& notice = reply.notice;
+    if (!notice.unreadable.empty()) {
+        m_context.metrics.count("server_notices_total{kind=\"unreadable\"}");
+        m_context.log.writeRoutine("server_notice_unreadable",
+            { { "id", m_call.id }, { "host", m_hostId },
+                { "text", notice.unreadable.substr(0, longestNoticeLogged) } });
+        return;
+    }
+    if (notice.requestsPerSecond) {
+        m_context.metrics.count("server_notices_total{kind=\"limit\"}");
+        m_context.log.writeRoutine("server_limit",
+            { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
+                { "per_second", *notice.requestsPerSecond } });
+    }
+}
+
 asio::awaitable<bool> CallForwarder::readBody(PeerConnection& connection, BodyParser& parser, std::string& body)
 {
     std::array<char, readBytes> bytes {};
@@ -165,6 +187,7 @@
     if (!co_await readOwnHead(connection, parser, reply))
         co_return SendOutcome::Broken;
     m_context.balancer.progressed(m_hostId, m_context.now());
+    noteServer(reply);
     bool isStream = m_route->streaming && reply.status == 200 && reply.isSigned && reply.isWhole;
     if (isStream)
         co_return co_await passStream(connection, *parser);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -331,4 +331,26 @@
     EXPECT_EQ(body["ttlS"], 1.5);
 }
 
+// A server's word about itself is believed only where it can't be mistaken.
+TEST(PlatformCodec, ReadsTheRateThatAServerNames)
+{
+    auto noticeOf = [](std::initializer_list<const char*> limits) {
+        ResponseHead head;
+        for (const char* limit : limits)
+            head.insert("Server-Limit", limit);
+        return codec.reply(head).notice;
+    };
+    EXPECT_EQ(noticeOf({}).requestsPerSecond, std::nullopt);
+    EXPECT_EQ(noticeOf({}).unreadable, "");
+    EXPECT_EQ(noticeOf({ "1.5" }).requestsPerSecond, 1.5);
+    EXPECT_EQ(noticeOf({ "0" }).requestsPerSecond, 0);
+    for (const char* nonsense : { "-1", "nan", "inf", "1e308", "1e3", "many", "", "1.5 a second", "+2", "0x10",
+             "99999999999999999999999999" }) {
+        EXPECT_EQ(noticeOf({ nonsense }).requestsPerSecond, std::nullopt) << nonsense;
+        EXPECT_NE(noticeOf({ nonsense }).unreadable, "") << nonsense;
+    }
+    EXPECT_EQ(noticeOf({ "1", "2" }).requestsPerSecond, std::nullopt) << "which one it means can't be told";
+    EXPECT_NE(noticeOf({ "1", "2" }).unreadable, "");
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -332,8 +332,25 @@
     writeJson(response, 202, {});
 }
 
+std::vector<std::chrono::steady_clock::time_point> StandinHost::arrivals()
+{
+    std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
+void StandinHost::speakOfItself(httplib::Response& response)
+{
+    if (namedLimit >= 0)
+        response.set_header("Server-Limit", std::to_string(namedLimit));
+}
+
 void StandinHost::serve(const httplib::Request& request, httplib::Response& response)
 {
+    {
+        std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(std::chrono::steady_clock::now());
+    }
+    speakOfItself(response);
     response.set_header("Attempt-Id", request.get_header_value("Attempt-Id"));
     bool isMeant = request.get_header_value("Target-Instance") == m_options.id;
     if (!isMeant || (!m_options.isPlain && !isOpenHead()) || isFull) {
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -110,6 +111,9 @@
     std::atomic<int> eventsSent { 0 };
     std::atomic<int> cutOff { 0 }; // Streams whose reader left before the end.
     std::atomic<bool> isFull { false }; // Refuses requests, and says that it does not run them.
+    std::atomic<double> namedLimit { -1 }; // Requests a second that its answers name; below 0: none.
+    // When requests reached it, those that it refuses too.
+    std::vector<std::chrono::steady_clock::time_point> arrivals();
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
     std::atomic<bool> standsStill { false }; // Streams stop in the middle.
     std::atomic<bool> isDraining { false };
@@ -122,6 +126,7 @@
 
 private:
     nlohmann::json report(bool forList);
+    void speakOfItself(httplib::Response&);
     void order(const httplib::Request&, httplib::Response&);
     void obey(const httplib::Request&, httplib::Response&);
     void serve(const httplib::Request&, httplib::Response&);
@@ -140,6 +145,7 @@
     std::string m_staged;
     std::string m_state;
     int m_rank = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
 };
 
 } // namespace Kumquatpick
