--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <gtest/gtest.h>
+#include <list>
 #include <optional>
 
 namespace Kumquatpick {
@@ -144,6 +145,55 @@
         return answer;
     }
 
+    // The most that arrived in any span of this length that ends after the given time.
+    size_t mostArrivals(const std::vector<std::chrono::steady_clock::time_point>& arrivals, Milliseconds span,
+        std::chrono::steady_clock::time_point after)
+    {
+        size_t most = 0;
+        for (size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+            while (arrivals[last] - arrivals[first] >= span)
+                ++first;
+            if (arrivals[last] > after)
+                most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    // Callers of a node, one request after the other.
+    class SteadyCallers {
+    public:
+        SteadyCallers(Address node, std::string path, httplib::Headers headers, Milliseconds pause)
+            : m_thread([this, node, path = std::move(path), headers = std::move(headers), pause]() mutable {
+                httplib::Client client("127.0.0.1", node.port);
+                client.set_keep_alive(true);
+                while (!m_isEnding) {
+                    headers.erase("Attempt-Id");
+                    headers.emplace("Attempt-Id", node.toString() + '-' + std::to_string(++m_sent));
+                    auto answer = client.Post(path, headers, "hello", "text/plain");
+                    m_served += answer && answer->status == 200 ? 1 : 0;
+                    std::this_thread::sleep_for(pause);
+                }
+            })
+        {
+        }
+        ~SteadyCallers()
+        {
+            m_isEnding = true;
+            m_thread.join();
+        }
+        SteadyCallers(const SteadyCallers&) = delete;
+        SteadyCallers& operator=(const SteadyCallers&) = delete;
+
+        int sent() const { return m_sent; }
+        int served() const { return m_served; }
+
+    private:
+        std::atomic<bool> m_isEnding { false };
+        std::atomic<int> m_sent { 0 };
+        std::atomic<int> m_served { 0 };
+        std::thread m_thread;
+    };
+
 }
 
 TEST_F(GatewayTest, RefusesWhileNoConfigurationIsKnown)
@@ -458,4 +508,37 @@
     EXPECT_EQ(openHeads().size(), 1u);
 }
 
+// A server that named a rate got as many requests as before, from each node.
+TEST_F(GatewayTest, KeepsTheRateThatAServerNamesOverAllNodes)
+{
+    constexpr double perSecond = 1.5;
+    constexpr Milliseconds span { 4000 };
+    constexpr Milliseconds timeToLearn { 3000 };
+    constexpr size_t allowed = 14; // One and a half times the rate over that span, and five.
+    startServing(0, 3);
+    TestNode second("node-2", m_store.address(), m_node->peers().toString());
+    TestNode third("node-3", m_store.address(), m_node->peers().toString());
+    std::list<SteadyCallers> callers;
+    for (const Address& node : { m_node->callers(), second.callers(), third.callers() })
+        callers.emplace_back(node, "/again/x", headers(), Milliseconds(50));
+    StandinHost& limited = *m_hosts[0];
+    ASSERT_TRUE(eventually([&] { return limited.runs > 20; })) << "all nodes use it";
+    auto namedAt = std::chrono::steady_clock::now();
+    limited.namedLimit = perSecond;
+    std::this_thread::sleep_for(timeToLearn + span + span);
+    EXPECT_LE(mostArrivals(limited.arrivals(), span, namedAt + timeToLearn), allowed);
+    EXPECT_GE(mostArrivals(limited.arrivals(), span, namedAt + timeToLearn + span), 3u) << "it takes some all the same";
+
+    limited.namedLimit = -1;
+    int runsBefore = limited.runs;
+    EXPECT_TRUE(eventually([&] { return limited.runs > runsBefore + 40; })) << "it names none any more";
+    int sent = 0;
+    int served = 0;
+    for (const SteadyCallers& each : callers) {
+        sent += each.sent();
+        served += each.served();
+    }
+    EXPECT_GE(served + 10, sent) << "the others serve what it does not take";
+}
+
 } // namespace Kumquatpick
