--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -156,15 +156,21 @@
         m_context.log.writeRoutine("server_notice_unreadable",
             { { "id", m_call.id }, { "host", m_hostId },
                 { "text", notice.unreadable.substr(0, longestNoticeLogged) } });
-        return;
     }
-    if (notice.requestsPerSecond)
+    if (notice.unreadable.empty())
+        noteLimit(reply);
+}
+
+void CallForwarder::noteLimit(const Reply& reply)
+{
+    std::optional<double> limit = reply.notice.requestsPerSecond;
+    if (limit)
         m_context.metrics.count("server_notices_total{kind=\"limit\"}");
-    bool isNews = m_context.balancer.limits().answered(m_hostId, notice.requestsPerSecond, m_sentAt, m_context.now());
-    if (isNews)
-        m_context.log.writeRoutine("server_limit",
-            { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
-                { "per_second", limitOrNull(notice.requestsPerSecond) } });
+    if (!m_context.balancer.limits().answered(m_hostId, limit, m_sentAt, m_context.now()))
+        return;
+    m_context.log.write("server_limit",
+        { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
+            { "per_second", limitOrNull(limit) } });
 }
 
 asio::awaitable<bool> CallForwarder::readBody(PeerConnection& connection, BodyParser& parser, std::string& body)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,7 +211,7 @@
         m_context.balancer.suspect(id, m_context.now() + avoidOnHearsay);
     for (const NamedLimit& limit : digest.limits) {
         if (m_context.balancer.limits().told(limit, m_context.now()))
-            m_context.log.writeRoutine("server_limit",
+            m_context.log.write("server_limit",
                 { { "host", limit.hostId }, { "per_second", limitOrNull(limit.perSecond) },
                     { "heard_from", digest.name }, { "age_ms", limit.age.count() } });
     }
