Say of each refusal which rest its server asks for

A refusal's time to come back was neither read nor logged, so that nobody could tell what a server had asked for. server_rest has the call, the host and the time; what can't be read is said so. Nothing acts on it yet. The stand-in host asks for rests.

--- a/src/fleet/servernotice.h
+++ b/src/fleet/servernotice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.h"
+
 #include <optional>
 #include <string>
 
@@ -9,6 +11,8 @@
 struct ServerNotice {
     // That it takes from all nodes together; nothing if it names no limit. At least 0.
     std::optional<double> requestsPerSecond;
+    // For which it wants nothing from this node, as it refused a request; nothing if it asks for none.
+    std::optional<Milliseconds> rest;
     // What can't be read and is not believed, for the log; empty if all can. It neither names nor lifts anything.
     std::string unreadable;
 };
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -157,10 +157,20 @@
             { { "id", m_call.id }, { "host", m_hostId },
                 { "text", notice.unreadable.substr(0, longestNoticeLogged) } });
     }
+    if (notice.rest)
+        noteRest(reply);
     if (notice.unreadable.empty())
         noteLimit(reply);
 }
 
+void CallForwarder::noteRest(const Reply& reply)
+{
+    m_context.metrics.count("server_notices_total{kind=\"rest\"}");
+    m_context.log.writeRoutine("server_rest",
+        { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
+            { "rest_ms", reply.notice.rest->count() } });
+}
+
 void CallForwarder::noteLimit(const Reply& reply)
 {
     std::optional<double> limit = reply.notice.requestsPerSecond;
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -355,6 +355,8 @@
     bool isMeant = request.get_header_value("Target-Instance") == m_options.id;
     if (!isMeant || (!m_options.isPlain && !isOpenHead()) || isFull) {
         response.status = isMeant && isFull ? 503 : 421;
+        if (response.status == 503 && restAsked > 0)
+            response.set_header("Retry-After", std::to_string(restAsked));
         response.set_header("Not-Executed", "1");
         return;
     }
