--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -541,4 +541,28 @@
     EXPECT_GE(served + 10, sent) << "the others serve what it does not take";
 }
 
+// A server that refused and asked for rest got the next calls of the same node all the same.
+TEST_F(GatewayTest, LeavesAServerAloneForTheRestThatItAskedFor)
+{
+    constexpr auto rest = 5s;
+    constexpr auto onTheWay = 500ms;
+    constexpr size_t allowed = 2;
+    startServing(0, 3);
+    StandinHost& tired = *m_hosts[0];
+    tired.restAsked = static_cast<int>(rest / 1s);
+    tired.isFull = true;
+    SteadyCallers callers(m_node->callers(), "/again/x", headers(), Milliseconds(20));
+    size_t before = tired.arrivals().size();
+    ASSERT_TRUE(eventually([&] { return tired.arrivals().size() > before; }));
+    auto refusedAt = tired.arrivals()[before];
+    std::this_thread::sleep_until(refusedAt + rest);
+    auto arrivals = tired.arrivals();
+    auto inRest
+        = std::ranges::count_if(arrivals, [&](auto at) { return at > refusedAt + onTheWay && at < refusedAt + rest; });
+    EXPECT_LE(static_cast<size_t>(inRest), allowed);
+    EXPECT_GE(callers.served() + 2, callers.sent()) << "the others serve its calls";
+    tired.isFull = false;
+    EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its rest is over";
+}
+
 } // namespace Kumquatpick
