Leave a backend server alone for the rest that it asks for

Ruled out: a belief that something cleared, as there was none, and other traffic than calls.

Change: AskedRests (src/fleet) keeps it by the server's life until its time is over; the balancer leaves such servers out. Where all servers that could take a call rest, its caller is told to come back when the first is there again, as an earlier time would not be true.

Evidence: GatewayTest.LeavesAServerAloneForTheRestThatItAskedFor failed with 4, passes; AskedRests*.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -88,6 +88,7 @@
     bool serves = target.what.service == request.service && target.what.model == request.model;
     bool hasRoom = target.own + target.others < target.what.capacity + request.queueLimit;
     return serves && target.what.capacity > 0 && hasRoom && std::max(target.avoidUntil, target.fullUntil) <= now
+        && !m_rests.isResting(target.what.hostId, now)
         && std::ranges::find(request.avoid, target.what.hostId) == request.avoid.end();
 }
 
@@ -123,6 +124,22 @@
     return usable.back()->what.hostId;
 }
 
+std::optional<MonotonicTime> Balancer::allRestUntil(
+    std::string_view service, std::string_view model, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> earliest;
+    for (const auto& [id, target] : m_targets) {
+        bool serves = target.what.service == service && target.what.model == model && target.what.capacity > 0;
+        if (!serves)
+            continue;
+        MonotonicTime end = m_rests.endOf(id);
+        if (end <= now)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(end), end);
+    }
+    return earliest;
+}
+
 void Balancer::started(std::string_view hostId, MonotonicTime now)
 {
     m_limits.sent(hostId, now);
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -209,8 +209,6 @@
     return response;
 }
 
-// Spread, so that those refused together don't return together; a caller does not wait for longer than a third of
-// the time that it has left.
 // A node that is behind can't tell what does not exist from what it has not heard of; another node can.
 HttpResponse CallForwarder::notConfigured(http::status status, std::string_view reason)
 {
@@ -220,10 +218,15 @@
     return refusal(http::status::service_unavailable, "the configuration here may be out of date", comeBackIn());
 }
 
+// Spread, so that those refused together don't return together. A caller does not wait for longer than a third of the
+// time that it has left, so that is the most to ask of it, unless it would find nobody then.
 Milliseconds CallForwarder::comeBackIn()
 {
     double draw = m_context.off.contains(Mechanism::ReturnSpread) ? 0.5 : m_context.draw();
     auto spread = std::chrono::duration_cast<Milliseconds>(returnSpread * draw);
+    MonotonicTime now = m_context.now();
+    if (auto end = m_context.balancer.allRestUntil(m_service, m_call.model, now))
+        return std::max(earliestReturn, std::chrono::ceil<Milliseconds>(*end - now)) + spread;
     return std::min(earliestReturn + spread, patienceLeft() / 3);
 }
 
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -166,6 +166,7 @@
 void CallForwarder::noteRest(const Reply& reply)
 {
     m_context.metrics.count("server_notices_total{kind=\"rest\"}");
+    m_context.balancer.rests().asked(m_hostId, *reply.notice.rest, m_context.now());
     m_context.log.writeRoutine("server_rest",
         { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
             { "rest_ms", reply.notice.rest->count() } });
