--- a/src/gateway/gatewayhosts.cpp
+++ b/src/gateway/gatewayhosts.cpp
@@ -66,7 +66,7 @@
     isBack = m_unreadableHosts.erase(key) > 0 || isBack;
     m_hostsWithoutService.erase(key);
     const Host* known = m_context.hosts.find(host.id);
-    if (!known || known->draining != host.draining)
+    if (!known || (host.draining && !known->draining))
         m_context.log.write("host_listed",
             { { "host", host.id }, { "service", host.service }, { "draining", host.draining }, { "zone", host.zone },
                 { "domain", host.status.domain } });
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -227,4 +227,27 @@
     EXPECT_EQ(table.replicas()[0].head, nullptr);
 }
 
+// A host that said it leaves was used again once its entry, which did not say so, came in.
+TEST(HostTable, BelievesAHostThatSaysItLeavesWhateverItsEntrySays)
+{
+    HostTable table;
+    table.listed(hostWith(memberOf(1, MemberState::Open)), start);
+    uint64_t before = table.version();
+    EXPECT_TRUE(table.saidLeaving("a"));
+    EXPECT_FALSE(table.saidLeaving("a")) << "it was known";
+    EXPECT_TRUE(table.find("a")->draining);
+    EXPECT_GT(table.version(), before) << "what is made of the table is made anew";
+    before = table.version();
+    EXPECT_FALSE(table.listed(hostWith(memberOf(1, MemberState::Open)), start + Milliseconds(1200)));
+    EXPECT_TRUE(table.find("a")->draining);
+    EXPECT_EQ(table.version(), before);
+    table.unlisted("a");
+    table.listed(hostWith(memberOf(2, MemberState::Open)), start + Milliseconds(3000));
+    EXPECT_TRUE(table.find("a")->draining) << "the same life";
+    Host next = hostWith(memberOf(3, MemberState::Open));
+    next.id = lifeId("a", 1000);
+    table.listed(next, start + Milliseconds(9000));
+    EXPECT_FALSE(table.findByName("a")->draining) << "another life has not said so";
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -372,4 +372,19 @@
     }
 }
 
+TEST(PlatformCodec, ReadsThatAServerLeaves)
+{
+    auto noticeOf = [](const char* leaving) {
+        ResponseHead head;
+        head.set("Server-Leaving", leaving);
+        return codec.reply(head).notice;
+    };
+    EXPECT_FALSE(codec.reply(ResponseHead()).notice.isLeaving);
+    EXPECT_TRUE(noticeOf("1").isLeaving);
+    EXPECT_FALSE(noticeOf("0").isLeaving);
+    EXPECT_EQ(noticeOf("0").unreadable, "");
+    EXPECT_FALSE(noticeOf("soon").isLeaving);
+    EXPECT_NE(noticeOf("soon").unreadable, "");
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -565,4 +565,23 @@
     EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its rest is over";
 }
 
+// A server that said only in its answers that it leaves got calls until the store's list told the same.
+TEST_F(GatewayTest, SendsNothingMoreToAServerThatSaysItLeaves)
+{
+    constexpr auto drain = 2s;
+    startServing(0, 2);
+    SteadyCallers callers(m_node->callers(), "/again/x", headers(), Milliseconds(20));
+    StandinHost& leaving = *m_hosts[0];
+    ASSERT_TRUE(eventually([&] { return leaving.runs > 5; }));
+    leaving.saysLeaving = true;
+    int runsBefore = leaving.runs;
+    ASSERT_TRUE(eventually([&] { return leaving.runs > runsBefore; }));
+    std::this_thread::sleep_for(drain);
+    runsBefore = leaving.runs;
+    leaving.announce(); // Its entry does not say it.
+    std::this_thread::sleep_for(drain);
+    EXPECT_EQ(leaving.runs, runsBefore);
+    EXPECT_GE(callers.served() + 2, callers.sent()) << "the other one serves its calls";
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -340,6 +340,8 @@
 
 void StandinHost::speakOfItself(httplib::Response& response)
 {
+    if (saysLeaving)
+        response.set_header("Server-Leaving", "1");
     if (namedLimit >= 0)
         response.set_header("Server-Limit", std::to_string(namedLimit));
 }
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -114,6 +114,7 @@
     std::atomic<double> namedLimit { -1 }; // Requests a second that its answers name; below 0: none.
     // When requests reached it, those that it refuses too.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
+    std::atomic<bool> saysLeaving { false }; // In its answers, not to the store.
     std::atomic<int> restAsked { 0 }; // Seconds, in its refusals; 0: none.
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
     std::atomic<bool> standsStill { false }; // Streams stop in the middle.
