Let the daemon too leave a replica alone for the rest that it asks for

The same class in the daemon's own way to its engines: it read a refusal's time to come back and passed it on to the caller, and sent the replica the next request all the same. Its router now leaves such a replica out until the time is over, two minutes at most. Router.AReplicaThatAskedForRestIsLeftAloneUntilItEnds fails where the choice does not look at it.

--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -95,6 +95,15 @@
     view->router.ended(replica, end, now);
 }
 
+void Router::restAsked(std::string_view service, std::string_view replica, Milliseconds rest, MonotonicTime now)
+{
+    ServiceView* view = m_impl->find(service);
+    if (!view)
+        return;
+    std::lock_guard lock(view->mutex);
+    view->router.restAsked(replica, rest, now);
+}
+
 uint32_t Router::freeStreams(std::string_view service) const
 {
     ServiceView* view = m_impl->find(service);
--- a/src/policy/servicerouter.cpp
+++ b/src/policy/servicerouter.cpp
@@ -16,6 +16,8 @@
     // A first success after failures is a trial passed, not yet a clean bill.
     constexpr double successFactor = 2;
     constexpr double secondsPerStreamAtStart = 2;
+    // A replica that asks for more is tried once again within it.
+    constexpr std::chrono::minutes longestRest { 2 };
     constexpr size_t mostRemembered = 1024; // Starts and ends since a report, for a replica that stopped reporting.
 
 } // namespace
@@ -145,12 +147,14 @@
 }
 
 // A few at random rather than all: nodes with the same late reports would else all pick the same replica.
-std::vector<ServiceRouter::Replicas::value_type*> ServiceRouter::candidates(const RequestShape& shape, Random& random)
+std::vector<ServiceRouter::Replicas::value_type*> ServiceRouter::candidates(
+    const RequestShape& shape, MonotonicTime now, Random& random)
 {
     std::vector<Replicas::value_type*> allowed;
     allowed.reserve(m_serving.size());
     for (auto* entry : m_serving) {
-        if (std::find(shape.avoid.begin(), shape.avoid.end(), entry->first) == shape.avoid.end())
+        bool isAvoided = std::find(shape.avoid.begin(), shape.avoid.end(), entry->first) != shape.avoid.end();
+        if (!isAvoided && entry->second.restsUntil <= now)
             allowed.push_back(entry);
     }
     size_t wanted = std::min<size_t>(m_settings.sampled, allowed.size());
@@ -178,7 +182,7 @@
     Replicas::value_type* best = nullptr;
     double bestScore = std::numeric_limits<double>::infinity();
     double bestMiss = 1;
-    for (auto* entry : candidates(shape, random)) {
+    for (auto* entry : candidates(shape, now, random)) {
         double miss = 1;
         if (m_settings.usesPrefixes && !shape.prefixes.empty())
             miss -= m_prefixes.hitShare(shape.prefixes, entry->first);
@@ -201,6 +205,16 @@
     return best->first;
 }
 
+// Only time ends a rest; one that was asked for longer before stays.
+void ServiceRouter::restAsked(std::string_view replica, Milliseconds rest, MonotonicTime now)
+{
+    auto found = m_replicas.find(replica);
+    if (found == m_replicas.end())
+        return;
+    MonotonicTime end = now + std::min<Milliseconds>(rest, longestRest);
+    found->second.restsUntil = std::max(found->second.restsUntil, end);
+}
+
 void ServiceRouter::accountTime(MonotonicTime now)
 {
     if (now > m_accounted && m_accounted != MonotonicTime {}) {
--- a/src/policy/servicerouter.h
+++ b/src/policy/servicerouter.h
@@ -43,6 +43,8 @@
     void firstToken(std::string_view replica, std::chrono::nanoseconds sinceDispatch, MonotonicTime now);
     void ended(std::string_view replica, DispatchEnd, MonotonicTime now);
 
+    void restAsked(std::string_view replica, Milliseconds rest, MonotonicTime now);
+
     uint32_t freeStreams() const;
     uint32_t inFlight(std::string_view replica) const;
     // Seconds to the first token that a request without cached prefix would see; infinite if not serving.
@@ -66,6 +68,7 @@
         MonotonicTime learnedAt {};
         double weight = 1; // Lost by failures.
         MonotonicTime weightAt {};
+        MonotonicTime restsUntil {}; // As it asked for.
     };
 
     using Replicas = std::map<std::string, Replica, std::less<>>;
@@ -78,7 +81,7 @@
     double slowness(const Replica&, MonotonicTime now) const;
     double weight(const Replica&, MonotonicTime now) const;
     double score(const Replica&, const RequestShape&, double missShare, MonotonicTime now) const;
-    std::vector<Replicas::value_type*> candidates(const RequestShape&, Random&);
+    std::vector<Replicas::value_type*> candidates(const RequestShape&, MonotonicTime now, Random&);
     static double observedRatio(const Pending&, double observed);
     void learnSpeed(Replica&, const Pending&, double observed, MonotonicTime now);
     void accountTime(MonotonicTime now);
--- a/tests/policy/router_test.cpp
+++ b/tests/policy/router_test.cpp
@@ -144,6 +144,26 @@
     EXPECT_LE(router.expectedSeconds("a", start), before);
 }
 
+// A replica that refused and asked for rest got the next requests all the same.
+TEST(Router, AReplicaThatAskedForRestIsLeftAloneUntilItEnds)
+{
+    ServiceRouter router;
+    router.setServing({ sample("a"), sample("b") });
+    router.restAsked("a", Milliseconds(3000), start);
+    router.restAsked("a", Milliseconds(1000), start);
+    router.restAsked("unknown", Milliseconds(1000), start);
+    router.setServing({ sample("a"), sample("b") });
+    EXPECT_EQ(choices(router, plain(), 200, start, Milliseconds(10))["a"], 0);
+    EXPECT_GT(choices(router, plain(), 200, start + Milliseconds(3000), Milliseconds(10))["a"], 20);
+    router.restAsked("a", std::chrono::hours(24), start + Milliseconds(6000));
+    EXPECT_GT(choices(router, plain(), 200, start + std::chrono::minutes(3), Milliseconds(10))["a"], 20)
+        << "no replica is left alone for a day";
+    std::vector<std::string> others { "b" };
+    router.restAsked("a", Milliseconds(3000), start + std::chrono::minutes(4));
+    Random random(1);
+    EXPECT_EQ(router.choose(plain(others), start + std::chrono::minutes(4), random), "") << "rather none";
+}
+
 TEST(Router, AStalledReplicaLosesOutBeforeItAnswers)
 {
     ServiceRouter router;
