Test a replica's rest by choices that learn nothing from each other

The test's first check passed also where the choice did not look at the rest: the first replica that answers in time keeps being chosen. Stricter: both are chosen in turn before, neither during, and up to the last millisecond.

--- a/tests/policy/router_test.cpp
+++ b/tests/policy/router_test.cpp
@@ -149,18 +149,29 @@
 {
     ServiceRouter router;
     router.setServing({ sample("a"), sample("b") });
+    Random random(1);
+    auto timesChosen = [&](MonotonicTime now) {
+        int times = 0;
+        for (int i = 0; i < 200; ++i) {
+            std::string replica = router.choose(plain(), now, random);
+            times += replica == "a" ? 1 : 0;
+            router.ended(replica, DispatchEnd::NotTaken, now);
+        }
+        return times;
+    };
+    EXPECT_GT(timesChosen(start), 20);
     router.restAsked("a", Milliseconds(3000), start);
     router.restAsked("a", Milliseconds(1000), start);
     router.restAsked("unknown", Milliseconds(1000), start);
     router.setServing({ sample("a"), sample("b") });
-    EXPECT_EQ(choices(router, plain(), 200, start, Milliseconds(10))["a"], 0);
-    EXPECT_GT(choices(router, plain(), 200, start + Milliseconds(3000), Milliseconds(10))["a"], 20);
-    router.restAsked("a", std::chrono::hours(24), start + Milliseconds(6000));
-    EXPECT_GT(choices(router, plain(), 200, start + std::chrono::minutes(3), Milliseconds(10))["a"], 20)
-        << "no replica is left alone for a day";
+    EXPECT_EQ(timesChosen(start), 0);
+    EXPECT_EQ(timesChosen(start + Milliseconds(2999)), 0);
+    EXPECT_GT(timesChosen(start + Milliseconds(3000)), 20);
+    router.restAsked("a", std::chrono::hours(24), start + std::chrono::minutes(1));
+    EXPECT_EQ(timesChosen(start + std::chrono::minutes(2)), 0);
+    EXPECT_GT(timesChosen(start + std::chrono::minutes(3)), 20) << "no replica is left alone for a day";
     std::vector<std::string> others { "b" };
     router.restAsked("a", Milliseconds(3000), start + std::chrono::minutes(4));
-    Random random(1);
     EXPECT_EQ(router.choose(plain(others), start + std::chrono::minutes(4), random), "") << "rather none";
 }
 
