Add a soak of the gateway in which servers say things of themselves

Three nodes, eleven servers of both kinds and nine callers, from a seed: servers name limits, ask for rest, leave and come, nodes stop and start, configurations change, in series and overlapping, and callers use their open connections until their node is gone.

--- /dev/null
+++ b/tests/platform/deskcaller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/clock.h"
+
+#include <atomic>
+#include <httplib.h>
+#include <string>
+#include <thread>
+
+namespace Kumquatpick {
+
+// A caller of one node that sends one request after the other, over one connection while that is open.
+class DeskCaller {
+public:
+    DeskCaller(Address node, std::string path, httplib::Headers headers, Milliseconds pause)
+        : m_thread([this, node, path = std::move(path), headers = std::move(headers), pause]() mutable {
+            httplib::Client client("127.0.0.1", node.port);
+            client.set_keep_alive(true);
+            while (!m_isEnding) {
+                headers.erase("Attempt-Id");
+                headers.emplace("Attempt-Id", node.toString() + path + '-' + std::to_string(++m_sent));
+                auto answer = client.Post(path, headers, "hello", "text/plain");
+                m_served += answer && answer->status == 200 ? 1 : 0;
+                m_unanswered += answer ? 0 : 1;
+                std::this_thread::sleep_for(pause);
+            }
+        })
+    {
+    }
+    ~DeskCaller()
+    {
+        m_isEnding = true;
+        m_thread.join();
+    }
+    DeskCaller(const DeskCaller&) = delete;
+    DeskCaller& operator=(const DeskCaller&) = delete;
+
+    int sent() const { return m_sent; }
+    int served() const { return m_served; }
+    int unanswered() const { return m_unanswered; } // Without a whole answer of any kind.
+
+private:
+    std::atomic<bool> m_isEnding { false };
+    std::atomic<int> m_sent { 0 };
+    std::atomic<int> m_served { 0 };
+    std::atomic<int> m_unanswered { 0 };
+    std::thread m_thread;
+};
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/tests/platform/deskconfig.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace Kumquatpick {
+
+inline nlohmann::json deskRoute(const char* prefix, const char* type, const char* service)
+{
+    return { { "name", prefix }, { "host", "desk.example" }, { "pathPrefix", prefix }, { "type", type },
+        { "timeoutMs", 4000 }, { "targetLatencyMs", 400 }, { "priority", 1 }, { "service", service },
+        { "maxAttempts", 2 }, { "streamResume", true } };
+}
+
+// The operators' text for a service of models on pairs of hosts and a plain one.
+inline nlohmann::json deskConfig(int version, const std::vector<std::string>& keys)
+{
+    using nlohmann::json;
+    json model { { "name", "pair" }, { "size", 2 }, { "fraction", 1.0 }, { "pace", 1.0 }, { "loadS", 0.1 },
+        { "warmS", 0.1 } };
+    json runtime { { "capacity", 4 }, { "modelList", { model } }, { "loadsPerS", 50 }, { "loads_at_once", 7 } };
+    return { { "version", version },
+        { "routes",
+            { deskRoute("/story/", "streaming", "writers"), deskRoute("/once/", "non_idempotent", "desk"),
+                deskRoute("/again/", "idempotent", "desk") } },
+        { "services",
+            { { { "name", "writers" }, { "healthCheck", "/h" }, { "runtime", runtime } },
+                { { "name", "desk" }, { "healthCheck", "/h" } } } },
+        { "limits",
+            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 1000 }, { "headerTimeoutMs", 300 },
+                { "idleTimeoutMs", 5000 } } },
+        { "tenants", { { { "name", "coaches" }, { "apiKeys", keys } } } } };
+}
+
+} // namespace Kumquatpick
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -1,3 +1,5 @@
+#include "platform/deskcaller.h"
+#include "platform/deskconfig.h"
 #include "platform/standin.h"
 #include "platform/testnode.h"
 
@@ -14,31 +16,6 @@
     using nlohmann::json;
     using namespace std::chrono_literals;
 
-    json route(const char* prefix, const char* type, const char* service)
-    {
-        return { { "name", prefix }, { "host", "desk.example" }, { "pathPrefix", prefix }, { "type", type },
-            { "timeoutMs", 4000 }, { "targetLatencyMs", 400 }, { "priority", 1 }, { "service", service },
-            { "maxAttempts", 2 }, { "streamResume", true } };
-    }
-
-    json configuration(int version, const std::vector<std::string>& keys)
-    {
-        json model { { "name", "pair" }, { "size", 2 }, { "fraction", 1.0 }, { "pace", 1.0 }, { "loadS", 0.1 },
-            { "warmS", 0.1 } };
-        json runtime { { "capacity", 4 }, { "modelList", { model } }, { "loadsPerS", 50 }, { "loads_at_once", 7 } };
-        return { { "version", version },
-            { "routes",
-                { route("/story/", "streaming", "writers"), route("/once/", "non_idempotent", "desk"),
-                    route("/again/", "idempotent", "desk") } },
-            { "services",
-                { { { "name", "writers" }, { "healthCheck", "/h" }, { "runtime", runtime } },
-                    { { "name", "desk" }, { "healthCheck", "/h" } } } },
-            { "limits",
-                { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 1000 }, { "headerTimeoutMs", 300 },
-                    { "idleTimeoutMs", 5000 } } },
-            { "tenants", { { { "name", "coaches" }, { "apiKeys", keys } } } } };
-    }
-
     bool eventually(const std::function<bool()>& condition, Milliseconds within = Milliseconds(8000))
     {
         for (MonotonicTime until = monotonicNow() + within; monotonicNow() < until; std::this_thread::sleep_for(10ms)) {
@@ -52,7 +29,7 @@
     protected:
         void publish(int version, const std::vector<std::string>& keys = { "key-1" })
         {
-            m_store.put("keyed.op", "config", configuration(version, keys).dump());
+            m_store.put("keyed.op", "config", deskConfig(version, keys).dump());
         }
 
         void addHosts(int count, bool isPlain)
@@ -146,54 +123,19 @@
     }
 
     // The most that arrived in any span of this length that ends after the given time.
-    size_t mostArrivals(const std::vector<std::chrono::steady_clock::time_point>& arrivals, Milliseconds span,
-        std::chrono::steady_clock::time_point after)
+    size_t mostArrivals(
+        std::span<const StandinHost::Arrival> arrivals, Milliseconds span, std::chrono::steady_clock::time_point after)
     {
         size_t most = 0;
         for (size_t first = 0, last = 0; last < arrivals.size(); ++last) {
-            while (arrivals[last] - arrivals[first] >= span)
+            while (arrivals[last].at - arrivals[first].at >= span)
                 ++first;
-            if (arrivals[last] > after)
+            if (arrivals[last].at > after)
                 most = std::max(most, last - first + 1);
         }
         return most;
     }
 
-    // Callers of a node, one request after the other.
-    class SteadyCallers {
-    public:
-        SteadyCallers(Address node, std::string path, httplib::Headers headers, Milliseconds pause)
-            : m_thread([this, node, path = std::move(path), headers = std::move(headers), pause]() mutable {
-                httplib::Client client("127.0.0.1", node.port);
-                client.set_keep_alive(true);
-                while (!m_isEnding) {
-                    headers.erase("Attempt-Id");
-                    headers.emplace("Attempt-Id", node.toString() + '-' + std::to_string(++m_sent));
-                    auto answer = client.Post(path, headers, "hello", "text/plain");
-                    m_served += answer && answer->status == 200 ? 1 : 0;
-                    std::this_thread::sleep_for(pause);
-                }
-            })
-        {
-        }
-        ~SteadyCallers()
-        {
-            m_isEnding = true;
-            m_thread.join();
-        }
-        SteadyCallers(const SteadyCallers&) = delete;
-        SteadyCallers& operator=(const SteadyCallers&) = delete;
-
-        int sent() const { return m_sent; }
-        int served() const { return m_served; }
-
-    private:
-        std::atomic<bool> m_isEnding { false };
-        std::atomic<int> m_sent { 0 };
-        std::atomic<int> m_served { 0 };
-        std::thread m_thread;
-    };
-
 }
 
 TEST_F(GatewayTest, RefusesWhileNoConfigurationIsKnown)
@@ -518,7 +460,7 @@
     startServing(0, 3);
     TestNode second("node-2", m_store.address(), m_node->peers().toString());
     TestNode third("node-3", m_store.address(), m_node->peers().toString());
-    std::list<SteadyCallers> callers;
+    std::list<DeskCaller> callers;
     for (const Address& node : { m_node->callers(), second.callers(), third.callers() })
         callers.emplace_back(node, "/again/x", headers(), Milliseconds(50));
     StandinHost& limited = *m_hosts[0];
@@ -534,7 +476,7 @@
     EXPECT_TRUE(eventually([&] { return limited.runs > runsBefore + 40; })) << "it names none any more";
     int sent = 0;
     int served = 0;
-    for (const SteadyCallers& each : callers) {
+    for (const DeskCaller& each : callers) {
         sent += each.sent();
         served += each.served();
     }
@@ -551,16 +493,16 @@
     StandinHost& tired = *m_hosts[0];
     tired.restAsked = static_cast<int>(rest / 1s);
     tired.isFull = true;
-    SteadyCallers callers(m_node->callers(), "/again/x", headers(), Milliseconds(20));
+    DeskCaller caller(m_node->callers(), "/again/x", headers(), Milliseconds(20));
     size_t before = tired.arrivals().size();
     ASSERT_TRUE(eventually([&] { return tired.arrivals().size() > before; }));
-    auto refusedAt = tired.arrivals()[before];
+    auto refusedAt = tired.arrivals()[before].at;
     std::this_thread::sleep_until(refusedAt + rest);
     auto arrivals = tired.arrivals();
-    auto inRest
-        = std::ranges::count_if(arrivals, [&](auto at) { return at > refusedAt + onTheWay && at < refusedAt + rest; });
+    auto inRest = std::ranges::count_if(
+        arrivals, [&](const auto& each) { return each.at > refusedAt + onTheWay && each.at < refusedAt + rest; });
     EXPECT_LE(static_cast<size_t>(inRest), allowed);
-    EXPECT_GE(callers.served() + 2, callers.sent()) << "the others serve its calls";
+    EXPECT_GE(caller.served() + 2, caller.sent()) << "the others serve its calls";
     tired.isFull = false;
     EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its rest is over";
 }
@@ -570,7 +512,7 @@
 {
     constexpr auto drain = 2s;
     startServing(0, 2);
-    SteadyCallers callers(m_node->callers(), "/again/x", headers(), Milliseconds(20));
+    DeskCaller caller(m_node->callers(), "/again/x", headers(), Milliseconds(20));
     StandinHost& leaving = *m_hosts[0];
     ASSERT_TRUE(eventually([&] { return leaving.runs > 5; }));
     leaving.saysLeaving = true;
@@ -581,7 +523,7 @@
     leaving.announce(); // Its entry does not say it.
     std::this_thread::sleep_for(drain);
     EXPECT_EQ(leaving.runs, runsBefore);
-    EXPECT_GE(callers.served() + 2, callers.sent()) << "the other one serves its calls";
+    EXPECT_GE(caller.served() + 2, caller.sent()) << "the other one serves its calls";
 }
 
 } // namespace Kumquatpick
--- /dev/null
+++ b/tests/platform/gatewaysoak_test.cpp
@@ -0,0 +1,237 @@
+#include "platform/deskcaller.h"
+#include "platform/deskconfig.h"
+#include "platform/noticerules.h"
+#include "platform/standin.h"
+#include "platform/testnode.h"
+
+#include "base/random.h"
+#include <cstdlib>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <list>
+
+namespace Kumquatpick {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    int fromEnvironment(const char* name, int usual)
+    {
+        const char* text = std::getenv(name);
+        return text ? std::atoi(text) : usual;
+    }
+
+    // Nodes, servers of both kinds and callers that use their open connections until their node is gone, while servers
+    // say things of themselves, leave and come, nodes stop and start, and configurations change, all drawn from a seed.
+    class GatewaySoak {
+    public:
+        explicit GatewaySoak(uint64_t seed)
+            : m_random(seed)
+        {
+            publish();
+            for (int i = 0; i < modelHosts; ++i)
+                addHost(false);
+            for (int i = 0; i < plainHosts; ++i)
+                addHost(true);
+            for (int i = 0; i < nodes; ++i)
+                startNode();
+            std::this_thread::sleep_for(settles);
+        }
+
+        void run(std::chrono::seconds duration)
+        {
+            auto end = std::chrono::steady_clock::now() + duration;
+            while (std::chrono::steady_clock::now() < end) {
+                step();
+                std::this_thread::sleep_for(Milliseconds(200 + below(600)));
+                endStopped();
+            }
+            for (Node& node : m_nodes)
+                collect(node);
+            m_nodes.clear();
+        }
+
+        int sent() const { return m_sent; }
+        int served() const { return m_served; }
+        int unanswered() const { return m_unanswered; }
+        const std::string& events() const { return m_events; }
+        std::vector<std::string> broken()
+        {
+            std::vector<std::string> lines;
+            for (auto& host : m_hosts) {
+                auto arrivals = host->arrivals();
+                for (auto& rule : { overLimits(arrivals), withinRests(arrivals), afterLeaving(arrivals) }) {
+                    for (const std::string& line : rule)
+                        lines.push_back(host->id() + ": " + line);
+                }
+            }
+            return lines;
+        }
+
+    private:
+        static constexpr int nodes = 3;
+        static constexpr int modelHosts = 6;
+        static constexpr int plainHosts = 5;
+        static constexpr auto settles = 3s;
+        static constexpr Milliseconds callPause { 40 };
+
+        struct Node {
+            std::unique_ptr<TestNode> process;
+            std::list<DeskCaller> callers;
+            bool isStopping = false;
+        };
+
+        int below(int bound) { return static_cast<int>(m_random() % static_cast<uint64_t>(bound)); }
+
+        void note(std::string_view event)
+        {
+            auto since = std::chrono::steady_clock::now() - m_begun;
+            m_events += fmt::format("{:.1f} s: {}\n", toSeconds(since), event);
+        }
+
+        void publish() { m_store.put("keyed.op", "config", deskConfig(++m_version, { "key-1" }).dump()); }
+
+        void addHost(bool isPlain)
+        {
+            m_hosts.push_back(std::make_unique<StandinHost>(m_store,
+                StandinHost::Options { fmt::format("{}-{}", isPlain ? "plain" : "model", m_hosts.size()),
+                    isPlain ? "desk" : "writers", "domain-1", isPlain }));
+        }
+
+        void startNode()
+        {
+            std::string seeds = m_nodes.empty() ? std::string() : m_nodes.front().process->peers().toString();
+            m_nodes.emplace_back();
+            Node& node = m_nodes.back();
+            node.process = std::make_unique<TestNode>(fmt::format("node-{}", ++m_started), m_store.address(), seeds);
+            httplib::Headers headers { { "Host", "desk.example" }, { "Key", "key-1" }, { "Deadline-Ms", "4000" },
+                { "Model-Id", "pair" }, { "Token-Count", "10,20" } };
+            for (const char* path : { "/again/x", "/once/x", "/story/x" })
+                node.callers.emplace_back(node.process->callers(), path, headers, callPause);
+        }
+
+        void step()
+        {
+            StandinHost& host = *m_hosts[static_cast<size_t>(below(static_cast<int>(m_hosts.size())))];
+            bool isCalm = host.namedLimit < 0 && !host.isFull && !host.saysLeaving;
+            switch (below(8)) {
+            case 0:
+            case 1:
+                return isCalm ? nameLimit(host) : void();
+            case 2:
+                return isCalm ? askForRest(host) : void();
+            case 3:
+            case 4:
+                return isCalm ? void() : calm(host);
+            case 5:
+                return isCalm && host.id().starts_with("plain") ? leave(host) : void();
+            case 6:
+                note("a configuration");
+                return publish();
+            default:
+                return stopOne();
+            }
+        }
+
+        void nameLimit(StandinHost& host)
+        {
+            host.namedLimit = 0.5 + below(60) / 10.0;
+            note(fmt::format("{} names {} a second", host.id(), host.namedLimit.load()));
+        }
+
+        void askForRest(StandinHost& host)
+        {
+            host.restAsked = 1 + below(4);
+            host.isFull = true;
+            note(fmt::format("{} refuses and asks for {} s", host.id(), host.restAsked.load()));
+        }
+
+        void calm(StandinHost& host)
+        {
+            host.namedLimit = -1;
+            host.isFull = false;
+            note(host.id() + " is well");
+        }
+
+        void leave(StandinHost& host)
+        {
+            host.saysLeaving = true;
+            addHost(true);
+            note(host.id() + " leaves");
+        }
+
+        // One at a time; its callers go on until it is gone.
+        void stopOne()
+        {
+            bool anyStops = std::ranges::any_of(m_nodes, [](const Node& node) { return node.isStopping; });
+            if (anyStops)
+                return;
+            auto node = std::next(m_nodes.begin(), below(static_cast<int>(m_nodes.size())));
+            m_unanswered += unansweredOf(*node);
+            node->isStopping = true;
+            node->process->stop();
+            note("a node stops");
+            startNode();
+        }
+
+        void endStopped()
+        {
+            for (auto node = m_nodes.begin(); node != m_nodes.end();) {
+                if (!node->process->hasEnded()) {
+                    ++node;
+                    continue;
+                }
+                collect(*node);
+                node = m_nodes.erase(node);
+            }
+        }
+
+        static int unansweredOf(const Node& node)
+        {
+            int count = 0;
+            for (const DeskCaller& caller : node.callers)
+                count += caller.unanswered();
+            return count;
+        }
+
+        void collect(const Node& node)
+        {
+            m_unanswered += node.isStopping ? 0 : unansweredOf(node);
+            for (const DeskCaller& caller : node.callers) {
+                m_sent += node.isStopping ? 0 : caller.sent();
+                m_served += node.isStopping ? 0 : caller.served();
+            }
+        }
+
+        Random m_random;
+        StandinStore m_store;
+        std::vector<std::unique_ptr<StandinHost>> m_hosts;
+        std::list<Node> m_nodes;
+        int m_version = 0;
+        int m_started = 0;
+        int m_sent = 0;
+        int m_served = 0;
+        int m_unanswered = 0;
+        std::string m_events; // A line each.
+        std::chrono::steady_clock::time_point m_begun = std::chrono::steady_clock::now();
+    };
+
+}
+
+// Limits, rests and leaving are kept, and every call is answered, while all of them and restarts overlap.
+TEST(GatewaySoak, DoesAsServersSayOfThemselves)
+{
+    int seed = fromEnvironment("KUMQUATPICK_SOAK_SEED", 1);
+    GatewaySoak soak(static_cast<uint64_t>(seed));
+    soak.run(std::chrono::seconds(fromEnvironment("KUMQUATPICK_SOAK_SECONDS", 20)));
+    auto broken = soak.broken();
+    for (const std::string& line : broken)
+        ADD_FAILURE() << "seed " << seed << ": " << line;
+    EXPECT_EQ(soak.unanswered(), 0) << "seed " << seed;
+    EXPECT_GT(soak.served(), soak.sent() / 2) << "seed " << seed;
+    if (testing::Test::HasFailure())
+        GTEST_LOG_(INFO) << soak.events();
+}
+
+} // namespace Kumquatpick
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -332,33 +332,36 @@
     writeJson(response, 202, {});
 }
 
-std::vector<std::chrono::steady_clock::time_point> StandinHost::arrivals()
+std::vector<StandinHost::Arrival> StandinHost::arrivals()
 {
     std::lock_guard lock(m_mutex);
     return m_arrivals;
 }
 
-void StandinHost::speakOfItself(httplib::Response& response)
+void StandinHost::speakOfItself(const httplib::Request& request, httplib::Response& response)
 {
-    if (saysLeaving)
+    std::string callId = request.get_header_value("Attempt-Id");
+    Arrival arrival { std::chrono::steady_clock::now(), callId.substr(0, callId.rfind('-')), namedLimit,
+        isFull ? restAsked.load() : 0, saysLeaving };
+    if (arrival.saidLeaving)
         response.set_header("Server-Leaving", "1");
-    if (namedLimit >= 0)
-        response.set_header("Server-Limit", std::to_string(namedLimit));
+    if (arrival.namedLimit >= 0)
+        response.set_header("Server-Limit", std::to_string(arrival.namedLimit));
+    if (arrival.restAsked > 0)
+        response.set_header("Retry-After", std::to_string(arrival.restAsked));
+    std::lock_guard lock(m_mutex);
+    m_arrivals.push_back(std::move(arrival));
 }
 
 void StandinHost::serve(const httplib::Request& request, httplib::Response& response)
 {
-    {
-        std::lock_guard lock(m_mutex);
-        m_arrivals.push_back(std::chrono::steady_clock::now());
-    }
-    speakOfItself(response);
     response.set_header("Attempt-Id", request.get_header_value("Attempt-Id"));
     bool isMeant = request.get_header_value("Target-Instance") == m_options.id;
-    if (!isMeant || (!m_options.isPlain && !isOpenHead()) || isFull) {
+    bool isTaking = m_options.isPlain || isOpenHead();
+    if (isMeant && isTaking)
+        speakOfItself(request, response);
+    if (!isMeant || !isTaking || isFull) {
         response.status = isMeant && isFull ? 503 : 421;
-        if (response.status == 503 && restAsked > 0)
-            response.set_header("Retry-After", std::to_string(restAsked));
         response.set_header("Not-Executed", "1");
         return;
     }
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -112,8 +112,15 @@
     std::atomic<int> cutOff { 0 }; // Streams whose reader left before the end.
     std::atomic<bool> isFull { false }; // Refuses requests, and says that it does not run them.
     std::atomic<double> namedLimit { -1 }; // Requests a second that its answers name; below 0: none.
-    // When requests reached it, those that it refuses too.
-    std::vector<std::chrono::steady_clock::time_point> arrivals();
+    // A request that reached it, also one that it refused, and what it said of itself in the answer.
+    struct Arrival {
+        std::chrono::steady_clock::time_point at;
+        std::string from; // The call's id up to its last dash.
+        double namedLimit = -1;
+        int restAsked = 0;
+        bool saidLeaving = false;
+    };
+    std::vector<Arrival> arrivals();
     std::atomic<bool> saysLeaving { false }; // In its answers, not to the store.
     std::atomic<int> restAsked { 0 }; // Seconds, in its refusals; 0: none.
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
@@ -128,7 +135,7 @@
 
 private:
     nlohmann::json report(bool forList);
-    void speakOfItself(httplib::Response&);
+    void speakOfItself(const httplib::Request&, httplib::Response&);
     void order(const httplib::Request&, httplib::Response&);
     void obey(const httplib::Request&, httplib::Response&);
     void serve(const httplib::Request&, httplib::Response&);
@@ -147,7 +154,7 @@
     std::string m_staged;
     std::string m_state;
     int m_rank = 0;
-    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
+    std::vector<Arrival> m_arrivals;
 };
 
 } // namespace Kumquatpick
