--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -88,7 +88,7 @@
     bool serves = target.what.service == request.service && target.what.model == request.model;
     bool hasRoom = target.own + target.others < target.what.capacity + request.queueLimit;
     return serves && target.what.capacity > 0 && hasRoom && std::max(target.avoidUntil, target.fullUntil) <= now
-        && !m_rests.isResting(target.what.hostId, now)
+        && !m_backoffs.isBackedOff(target.what.hostId, now)
         && std::ranges::find(request.avoid, target.what.hostId) == request.avoid.end();
 }
 
@@ -124,7 +124,7 @@
     return usable.back()->what.hostId;
 }
 
-std::optional<MonotonicTime> Balancer::allRestUntil(
+std::optional<MonotonicTime> Balancer::allBackedOffUntil(
     std::string_view service, std::string_view model, MonotonicTime now) const
 {
     std::optional<MonotonicTime> earliest;
@@ -132,7 +132,7 @@
         bool serves = target.what.service == service && target.what.model == model && target.what.capacity > 0;
         if (!serves)
             continue;
-        MonotonicTime end = m_rests.endOf(id);
+        MonotonicTime end = m_backoffs.endOf(id);
         if (end <= now)
             return std::nullopt;
         earliest = std::min(earliest.value_or(end), end);
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "fleet/askedrests.h"
+#include "fleet/backoffs.h"
 #include "fleet/ratelimits.h"
 
 #include <cstdint>
@@ -68,11 +68,11 @@
     // The rates that targets named, which choices keep.
     RateLimits& limits() { return m_limits; }
     const RateLimits& limits() const { return m_limits; }
-    // The rests that targets asked for, which choices leave them.
-    AskedRests& rests() { return m_rests; }
-    const AskedRests& rests() const { return m_rests; }
-    // The earliest end of a rest, if all targets that could be chosen at all rest; else nothing.
-    std::optional<MonotonicTime> allRestUntil(
+    // The backoffs that targets asked for, which choices keep.
+    Backoffs& backoffs() { return m_backoffs; }
+    const Backoffs& backoffs() const { return m_backoffs; }
+    // The earliest end of a backoff, if all targets that could be chosen at all asked for one; else nothing.
+    std::optional<MonotonicTime> allBackedOffUntil(
         std::string_view service, std::string_view model, MonotonicTime now) const;
     // Times that a target was left out of a choice for its limit alone.
     uint64_t leftOutByLimit() const { return m_leftOutByLimit; }
@@ -117,7 +117,7 @@
     std::map<std::string, Target, std::less<>> m_targets;
     std::map<std::string, uint32_t, std::less<>> m_othersInFlight;
     RateLimits m_limits;
-    AskedRests m_rests;
+    Backoffs m_backoffs;
     uint64_t m_leftOutByLimit = 0;
 };
 
--- a/src/fleet/servernotice.h
+++ b/src/fleet/servernotice.h
@@ -12,8 +12,8 @@
     bool isLeaving = false; // It takes nothing more before long, and this life of it does not stay.
     // That it takes from all nodes together; nothing if it names no limit. At least 0.
     std::optional<double> requestsPerSecond;
-    // For which it wants nothing from this node, as it refused a request; nothing if it asks for none.
-    std::optional<Milliseconds> rest;
+    // For which this node is to send it nothing, as it refused a request; nothing if it asks for none.
+    std::optional<Milliseconds> backoff;
     // What can't be read and is not believed, for the log; empty if all can. It neither names nor lifts anything.
     std::string unreadable;
 };
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -225,7 +225,7 @@
     double draw = m_context.off.contains(Mechanism::ReturnSpread) ? 0.5 : m_context.draw();
     auto spread = std::chrono::duration_cast<Milliseconds>(returnSpread * draw);
     MonotonicTime now = m_context.now();
-    if (auto end = m_context.balancer.allRestUntil(m_service, m_call.model, now))
+    if (auto end = m_context.balancer.allBackedOffUntil(m_service, m_call.model, now))
         return std::max(earliestReturn, std::chrono::ceil<Milliseconds>(*end - now)) + spread;
     return std::min(earliestReturn + spread, patienceLeft() / 3);
 }
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -62,7 +62,7 @@
     // What the backend server says of itself beside its answer.
     void noteServer(const Reply&);
     void noteLeaving(const Reply&);
-    void noteRest(const Reply&);
+    void noteBackoff(const Reply&);
     void noteLimit(const Reply&);
     asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
     asio::awaitable<SendOutcome> passStream(PeerConnection&, BodyParser&);
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -159,8 +159,8 @@
     }
     if (notice.isLeaving)
         noteLeaving(reply);
-    if (notice.rest)
-        noteRest(reply);
+    if (notice.backoff)
+        noteBackoff(reply);
     if (notice.unreadable.empty())
         noteLimit(reply);
 }
@@ -173,13 +173,13 @@
             "server_leaving", { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status } });
 }
 
-void CallForwarder::noteRest(const Reply& reply)
+void CallForwarder::noteBackoff(const Reply& reply)
 {
-    m_context.metrics.count("server_notices_total{kind=\"rest\"}");
-    m_context.balancer.rests().asked(m_hostId, *reply.notice.rest, m_context.now());
-    m_context.log.writeRoutine("server_rest",
+    m_context.metrics.count("server_notices_total{kind=\"backoff\"}");
+    m_context.balancer.backoffs().asked(m_hostId, *reply.notice.backoff, m_context.now());
+    m_context.log.writeRoutine("server_backoff",
         { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status },
-            { "rest_ms", reply.notice.rest->count() } });
+            { "backoff_ms", reply.notice.backoff->count() } });
 }
 
 void CallForwarder::noteLimit(const Reply& reply)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -242,7 +242,7 @@
                 rememberAddresses();
                 m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
                 dealLimits();
-                m_context.balancer.rests().expire(m_context.now());
+                m_context.balancer.backoffs().expire(m_context.now());
                 m_sessions.remove_if([](const auto& session) { return session.expired(); });
                 reportLoop();
             }
@@ -281,7 +281,7 @@
     metrics.set("config_age_seconds", toSeconds(configAge()));
     metrics.set("limited_servers", static_cast<double>(m_context.balancer.limits().size()));
     metrics.set("choices_without_limited_server", static_cast<double>(m_context.balancer.leftOutByLimit()));
-    metrics.set("resting_servers", static_cast<double>(m_context.balancer.rests().size()));
+    metrics.set("backed_off_servers", static_cast<double>(m_context.balancer.backoffs().size()));
     metrics.set("calls_in_flight", static_cast<double>(m_context.calls.size()));
     for (size_t i = 0; i < loopPartNames.size(); ++i)
         metrics.set(fmt::format("loop_busy_seconds{{part=\"{}\"}}", loopPartNames[i]),
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -95,13 +95,13 @@
     view->router.ended(replica, end, now);
 }
 
-void Router::restAsked(std::string_view service, std::string_view replica, Milliseconds rest, MonotonicTime now)
+void Router::backoffAsked(std::string_view service, std::string_view replica, Milliseconds backoff, MonotonicTime now)
 {
     ServiceView* view = m_impl->find(service);
     if (!view)
         return;
     std::lock_guard lock(view->mutex);
-    view->router.restAsked(replica, rest, now);
+    view->router.backoffAsked(replica, backoff, now);
 }
 
 uint32_t Router::freeStreams(std::string_view service) const
--- a/src/policy/router.h
+++ b/src/policy/router.h
@@ -56,8 +56,8 @@
         std::string_view service, std::string_view replica, std::chrono::nanoseconds sinceDispatch, MonotonicTime now);
     void ended(std::string_view service, std::string_view replica, DispatchEnd, MonotonicTime now);
 
-    // The replica refused a request and wants nothing more from this node for so long.
-    void restAsked(std::string_view service, std::string_view replica, Milliseconds rest, MonotonicTime now);
+    // The replica refused a request and asked this node to send it nothing for so long.
+    void backoffAsked(std::string_view service, std::string_view replica, Milliseconds backoff, MonotonicTime now);
 
     // Requests that the service could start at once; for admission.
     uint32_t freeStreams(std::string_view service) const;
--- a/src/policy/servicerouter.cpp
+++ b/src/policy/servicerouter.cpp
@@ -17,7 +17,7 @@
     constexpr double successFactor = 2;
     constexpr double secondsPerStreamAtStart = 2;
     // A replica that asks for more is tried once again within it.
-    constexpr std::chrono::minutes longestRest { 2 };
+    constexpr std::chrono::minutes longestBackoff { 2 };
     constexpr size_t mostRemembered = 1024; // Starts and ends since a report, for a replica that stopped reporting.
 
 } // namespace
@@ -154,7 +154,7 @@
     allowed.reserve(m_serving.size());
     for (auto* entry : m_serving) {
         bool isAvoided = std::find(shape.avoid.begin(), shape.avoid.end(), entry->first) != shape.avoid.end();
-        if (!isAvoided && entry->second.restsUntil <= now)
+        if (!isAvoided && entry->second.backedOffUntil <= now)
             allowed.push_back(entry);
     }
     size_t wanted = std::min<size_t>(m_settings.sampled, allowed.size());
@@ -205,14 +205,14 @@
     return best->first;
 }
 
-// Only time ends a rest; one that was asked for longer before stays.
-void ServiceRouter::restAsked(std::string_view replica, Milliseconds rest, MonotonicTime now)
+// Only time ends a backoff; a later end that was asked for before stays.
+void ServiceRouter::backoffAsked(std::string_view replica, Milliseconds backoff, MonotonicTime now)
 {
     auto found = m_replicas.find(replica);
     if (found == m_replicas.end())
         return;
-    MonotonicTime end = now + std::min<Milliseconds>(rest, longestRest);
-    found->second.restsUntil = std::max(found->second.restsUntil, end);
+    MonotonicTime end = now + std::min<Milliseconds>(backoff, longestBackoff);
+    found->second.backedOffUntil = std::max(found->second.backedOffUntil, end);
 }
 
 void ServiceRouter::accountTime(MonotonicTime now)
--- a/src/policy/servicerouter.h
+++ b/src/policy/servicerouter.h
@@ -43,7 +43,7 @@
     void firstToken(std::string_view replica, std::chrono::nanoseconds sinceDispatch, MonotonicTime now);
     void ended(std::string_view replica, DispatchEnd, MonotonicTime now);
 
-    void restAsked(std::string_view replica, Milliseconds rest, MonotonicTime now);
+    void backoffAsked(std::string_view replica, Milliseconds backoff, MonotonicTime now);
 
     uint32_t freeStreams() const;
     uint32_t inFlight(std::string_view replica) const;
@@ -68,7 +68,7 @@
         MonotonicTime learnedAt {};
         double weight = 1; // Lost by failures.
         MonotonicTime weightAt {};
-        MonotonicTime restsUntil {}; // As it asked for.
+        MonotonicTime backedOffUntil {}; // As it asked for.
     };
 
     using Replicas = std::map<std::string, Replica, std::less<>>;
--- /dev/null
+++ b/tests/fleet/backoffs_test.cpp
@@ -0,0 +1,83 @@
+#include "fleet/backoffs.h"
+
+#include "fleet/balancer.h"
+#include <gtest/gtest.h>
+
+namespace Kumquatpick {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr MonotonicTime start { std::chrono::hours(1) };
+
+    ServingTarget plain(std::string id) { return { std::move(id), "desk", {}, "howrah", 4, 1 }; }
+
+    class BackoffsTest : public testing::Test {
+    protected:
+        std::string choose(MonotonicTime now) { return m_balancer.choose({ "desk", {}, {}, 0 }, now, m_random); }
+
+        Balancer m_balancer { "howrah" };
+        Random m_random { 1 };
+    };
+
+}
+
+// A server that asked for a backoff of seconds was left alone for a fraction of one.
+TEST_F(BackoffsTest, KeepCallsAwayUntilTheyEnd)
+{
+    m_balancer.setTargets({ plain("a"), plain("b") });
+    m_balancer.started("a", start);
+    m_balancer.backoffs().asked("a", 3s, start);
+    m_balancer.ended("a", SendEnd::NotTaken, start);
+    for (MonotonicTime now = start; now < start + 3s; now += 10ms)
+        EXPECT_EQ(choose(now), "b");
+    bool isChosen = false;
+    for (MonotonicTime now = start + 3s; now < start + 4s; now += 10ms)
+        isChosen = isChosen || choose(now) == "a";
+    EXPECT_TRUE(isChosen);
+}
+
+// An answer to an earlier request, or a new list of servers, says nothing of the backoff.
+TEST_F(BackoffsTest, EndByTimeAlone)
+{
+    m_balancer.setTargets({ plain("a") });
+    m_balancer.started("a", start);
+    m_balancer.backoffs().asked("a", 3s, start);
+    m_balancer.ended("a", SendEnd::Finished, start + 1s);
+    EXPECT_EQ(choose(start + 2s), "");
+    m_balancer.setTargets({});
+    m_balancer.setTargets({ plain("a") });
+    m_balancer.backoffs().expire(start + 2s);
+    EXPECT_EQ(choose(start + 2s), "");
+    m_balancer.backoffs().expire(start + 3s);
+    EXPECT_EQ(choose(start + 3s), "a");
+    EXPECT_EQ(m_balancer.backoffs().size(), 0u);
+}
+
+TEST(Backoffs, AreNotCutShortByALaterRefusal)
+{
+    Backoffs backoffs;
+    backoffs.asked("a", 3s, start);
+    backoffs.asked("a", 1s, start + 1s);
+    EXPECT_EQ(backoffs.endOf("a"), start + 3s);
+    backoffs.asked("a", 4s, start + 2s);
+    EXPECT_EQ(backoffs.endOf("a"), start + 6s);
+    EXPECT_FALSE(backoffs.isBackedOff("b", start)) << "another life has asked for nothing";
+}
+
+// Callers that are refused since every server asked for a backoff must not be told to come back before one is there
+// again.
+TEST_F(BackoffsTest, SayWhenTheFirstServerIsBackIfAllAskedForThem)
+{
+    m_balancer.setTargets({ plain("a"), plain("b") });
+    m_balancer.backoffs().asked("a", 5s, start);
+    EXPECT_EQ(m_balancer.allBackedOffUntil("desk", {}, start), std::nullopt) << "b takes calls";
+    m_balancer.backoffs().asked("b", 3s, start);
+    EXPECT_EQ(m_balancer.allBackedOffUntil("desk", {}, start), start + 3s);
+    EXPECT_EQ(m_balancer.allBackedOffUntil("desk", {}, start + 3s), std::nullopt);
+    EXPECT_EQ(m_balancer.allBackedOffUntil("writers", "large", start), std::nullopt)
+        << "there is none that could ask for it";
+}
+
+} // namespace Kumquatpick
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -353,21 +353,21 @@
     EXPECT_NE(noticeOf({ "1", "2" }).unreadable, "");
 }
 
-TEST(PlatformCodec, ReadsTheRestThatAServerAsksFor)
+TEST(PlatformCodec, ReadsTheBackoffThatAServerAsksFor)
 {
-    auto noticeOf = [](unsigned status, const char* rest) {
+    auto noticeOf = [](unsigned status, const char* retryAfter) {
         ResponseHead head;
         head.result(status);
-        head.set("Retry-After", rest);
+        head.set("Retry-After", retryAfter);
         return codec.reply(head).notice;
     };
-    EXPECT_EQ(noticeOf(503, "3").rest, Milliseconds(3000));
-    EXPECT_EQ(noticeOf(429, "0.25").rest, Milliseconds(250));
-    EXPECT_EQ(noticeOf(200, "3").rest, std::nullopt) << "only who refuses asks for rest";
-    EXPECT_EQ(noticeOf(421, "3").rest, std::nullopt) << "another life's refusal";
-    EXPECT_EQ(noticeOf(503, "31536000").rest, std::chrono::seconds(120)) << "no server is left alone for a year";
+    EXPECT_EQ(noticeOf(503, "3").backoff, Milliseconds(3000));
+    EXPECT_EQ(noticeOf(429, "0.25").backoff, Milliseconds(250));
+    EXPECT_EQ(noticeOf(200, "3").backoff, std::nullopt) << "only who refuses asks for it";
+    EXPECT_EQ(noticeOf(421, "3").backoff, std::nullopt) << "another life's refusal";
+    EXPECT_EQ(noticeOf(503, "31536000").backoff, std::chrono::seconds(120)) << "no server is left alone for a year";
     for (const char* nonsense : { "-3", "Wed, 21 Oct 2026 07:28:00 GMT", "nan", "1e9", "soon" }) {
-        EXPECT_EQ(noticeOf(503, nonsense).rest, std::nullopt) << nonsense;
+        EXPECT_EQ(noticeOf(503, nonsense).backoff, std::nullopt) << nonsense;
         EXPECT_NE(noticeOf(503, nonsense).unreadable, "") << nonsense;
     }
 }
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -483,28 +483,28 @@
     EXPECT_GE(served + 10, sent) << "the others serve what it does not take";
 }
 
-// A server that refused and asked for rest got the next calls of the same node all the same.
-TEST_F(GatewayTest, LeavesAServerAloneForTheRestThatItAskedFor)
+// A server that refused and said when to retry got the next calls of the same node all the same.
+TEST_F(GatewayTest, BacksOffForAsLongAsAServerAskedFor)
 {
-    constexpr auto rest = 5s;
+    constexpr auto backoff = 5s;
     constexpr auto onTheWay = 500ms;
     constexpr size_t allowed = 2;
     startServing(0, 3);
     StandinHost& tired = *m_hosts[0];
-    tired.restAsked = static_cast<int>(rest / 1s);
+    tired.backoffAsked = static_cast<int>(backoff / 1s);
     tired.isFull = true;
     DeskCaller caller(m_node->callers(), "/again/x", headers(), Milliseconds(20));
     size_t before = tired.arrivals().size();
     ASSERT_TRUE(eventually([&] { return tired.arrivals().size() > before; }));
     auto refusedAt = tired.arrivals()[before].at;
-    std::this_thread::sleep_until(refusedAt + rest);
+    std::this_thread::sleep_until(refusedAt + backoff);
     auto arrivals = tired.arrivals();
-    auto inRest = std::ranges::count_if(
-        arrivals, [&](const auto& each) { return each.at > refusedAt + onTheWay && each.at < refusedAt + rest; });
-    EXPECT_LE(static_cast<size_t>(inRest), allowed);
+    auto within = std::ranges::count_if(
+        arrivals, [&](const auto& each) { return each.at > refusedAt + onTheWay && each.at < refusedAt + backoff; });
+    EXPECT_LE(static_cast<size_t>(within), allowed);
     EXPECT_GE(caller.served() + 2, caller.sent()) << "the others serve its calls";
     tired.isFull = false;
-    EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its rest is over";
+    EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its backoff is over";
 }
 
 // A server that said only in its answers that it leaves got calls until the store's list told the same.
--- a/tests/platform/gatewaysoak_test.cpp
+++ b/tests/platform/gatewaysoak_test.cpp
@@ -61,7 +61,7 @@
             std::vector<std::string> lines;
             for (auto& host : m_hosts) {
                 auto arrivals = host->arrivals();
-                for (auto& rule : { overLimits(arrivals), withinRests(arrivals), afterLeaving(arrivals) }) {
+                for (auto& rule : { overLimits(arrivals), withinBackoffs(arrivals), afterLeaving(arrivals) }) {
                     for (const std::string& line : rule)
                         lines.push_back(host->id() + ": " + line);
                 }
@@ -120,7 +120,7 @@
             case 1:
                 return isCalm ? nameLimit(host) : void();
             case 2:
-                return isCalm ? askForRest(host) : void();
+                return isCalm ? askForBackoff(host) : void();
             case 3:
             case 4:
                 return isCalm ? void() : calm(host);
@@ -140,11 +140,11 @@
             note(fmt::format("{} names {} a second", host.id(), host.namedLimit.load()));
         }
 
-        void askForRest(StandinHost& host)
+        void askForBackoff(StandinHost& host)
         {
-            host.restAsked = 1 + below(4);
+            host.backoffAsked = 1 + below(4);
             host.isFull = true;
-            note(fmt::format("{} refuses and asks for {} s", host.id(), host.restAsked.load()));
+            note(fmt::format("{} refuses and asks for {} s", host.id(), host.backoffAsked.load()));
         }
 
         void calm(StandinHost& host)
@@ -219,7 +219,7 @@
 
 }
 
-// Limits, rests and leaving are kept, and every call is answered, while all of them and restarts overlap.
+// Limits, backoffs and leaving are kept, and every call is answered, while all of them and restarts overlap.
 TEST(GatewaySoak, DoesAsServersSayOfThemselves)
 {
     int seed = fromEnvironment("KUMQUATPICK_SOAK_SEED", 1);
--- a/tests/platform/noticerules.cpp
+++ b/tests/platform/noticerules.cpp
@@ -16,7 +16,7 @@
     constexpr auto timeToLearn = 3s;
     constexpr auto onTheWay = 500ms;
     constexpr auto drain = 2s;
-    constexpr size_t mostInRest = 2;
+    constexpr size_t mostWithin = 2;
 
     std::string_view nodeOf(const StandinHost::Arrival& arrival)
     {
@@ -53,18 +53,19 @@
     return broken;
 }
 
-std::vector<std::string> withinRests(std::span<const StandinHost::Arrival> arrivals)
+std::vector<std::string> withinBackoffs(std::span<const StandinHost::Arrival> arrivals)
 {
     std::vector<std::string> broken;
     for (const auto& asking : arrivals) {
-        if (asking.restAsked == 0)
+        if (asking.backoffAsked == 0)
             continue;
-        Time end = asking.at + std::chrono::seconds(asking.restAsked);
+        Time end = asking.at + std::chrono::seconds(asking.backoffAsked);
         auto count = static_cast<size_t>(std::ranges::count_if(arrivals, [&](const auto& each) {
             return nodeOf(each) == nodeOf(asking) && each.at > asking.at + onTheWay && each.at < end;
         }));
-        if (count > mostInRest)
-            broken.push_back(fmt::format("{} requests of {} in {} s of rest", count, asking.from, asking.restAsked));
+        if (count > mostWithin)
+            broken.push_back(
+                fmt::format("{} requests of {} in a backoff of {} s", count, asking.from, asking.backoffAsked));
     }
     return broken;
 }
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -342,13 +342,13 @@
 {
     std::string callId = request.get_header_value("Attempt-Id");
     Arrival arrival { std::chrono::steady_clock::now(), callId.substr(0, callId.rfind('-')), namedLimit,
-        isFull ? restAsked.load() : 0, saysLeaving };
+        isFull ? backoffAsked.load() : 0, saysLeaving };
     if (arrival.saidLeaving)
         response.set_header("Server-Leaving", "1");
     if (arrival.namedLimit >= 0)
         response.set_header("Server-Limit", std::to_string(arrival.namedLimit));
-    if (arrival.restAsked > 0)
-        response.set_header("Retry-After", std::to_string(arrival.restAsked));
+    if (arrival.backoffAsked > 0)
+        response.set_header("Retry-After", std::to_string(arrival.backoffAsked));
     std::lock_guard lock(m_mutex);
     m_arrivals.push_back(std::move(arrival));
 }
--- a/tests/policy/router_test.cpp
+++ b/tests/policy/router_test.cpp
@@ -144,8 +144,8 @@
     EXPECT_LE(router.expectedSeconds("a", start), before);
 }
 
-// A replica that refused and asked for rest got the next requests all the same.
-TEST(Router, AReplicaThatAskedForRestIsLeftAloneUntilItEnds)
+// A replica that refused and said when to retry got the next requests all the same.
+TEST(Router, AReplicaThatAskedForABackoffIsLeftAloneUntilItEnds)
 {
     ServiceRouter router;
     router.setServing({ sample("a"), sample("b") });
@@ -160,18 +160,18 @@
         return times;
     };
     EXPECT_GT(timesChosen(start), 20);
-    router.restAsked("a", Milliseconds(3000), start);
-    router.restAsked("a", Milliseconds(1000), start);
-    router.restAsked("unknown", Milliseconds(1000), start);
+    router.backoffAsked("a", Milliseconds(3000), start);
+    router.backoffAsked("a", Milliseconds(1000), start);
+    router.backoffAsked("unknown", Milliseconds(1000), start);
     router.setServing({ sample("a"), sample("b") });
     EXPECT_EQ(timesChosen(start), 0);
     EXPECT_EQ(timesChosen(start + Milliseconds(2999)), 0);
     EXPECT_GT(timesChosen(start + Milliseconds(3000)), 20);
-    router.restAsked("a", std::chrono::hours(24), start + std::chrono::minutes(1));
+    router.backoffAsked("a", std::chrono::hours(24), start + std::chrono::minutes(1));
     EXPECT_EQ(timesChosen(start + std::chrono::minutes(2)), 0);
     EXPECT_GT(timesChosen(start + std::chrono::minutes(3)), 20) << "no replica is left alone for a day";
     std::vector<std::string> others { "b" };
-    router.restAsked("a", Milliseconds(3000), start + std::chrono::minutes(4));
+    router.backoffAsked("a", Milliseconds(3000), start + std::chrono::minutes(4));
     EXPECT_EQ(router.choose(plain(others), start + std::chrono::minutes(4), random), "") << "rather none";
 }
 
