--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -44,7 +44,7 @@
     else
         sources.reported.reset();
     keepLastModel(sources, host.status);
-    host.draining = host.draining || m_leaving.contains(host.id);
+    host.draining = host.draining || m_saidDraining.contains(host.id);
     Host& counts = m_hosts[host.id];
     if (!(counts == host)) {
         counts = std::move(host);
@@ -93,9 +93,9 @@
     erase(id);
 }
 
-bool HostTable::saidLeaving(std::string_view id)
+bool HostTable::saidDraining(std::string_view id)
 {
-    if (!m_leaving.emplace(id).second)
+    if (!m_saidDraining.emplace(id).second)
         return false;
     auto found = m_hosts.find(id);
     if (found != m_hosts.end() && !found->second.draining) {
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -39,9 +39,9 @@
     void listWasRead(MonotonicTime at) { m_listReadAt = at; }
     // The list dropped the entry.
     void unlisted(std::string_view id);
-    // The host says of itself that it leaves: from then on it counts as draining, whatever its entry says. Returns
+    // The host says of itself that it drains: from then on it counts as draining, whatever its entry says. Returns
     // whether that is news.
-    bool saidLeaving(std::string_view id);
+    bool saidDraining(std::string_view id);
     // The listed life of the host with this name; nullptr if none is.
     const Host* findByName(std::string_view name) const;
     // A report of the host itself, of what it was at this time; ignored for hosts that are not listed or if a later one
@@ -88,7 +88,7 @@
     std::map<std::string, Lapsed, std::less<>> m_lapsed; // Members of replicas, other than heads.
     std::map<std::string, uint64_t, std::less<>> m_firstSeen; // In which order lives appeared; small, and kept.
     std::map<std::string, std::string, std::less<>> m_newestLife; // Its id, by the host's name; kept likewise.
-    std::set<std::string, std::less<>> m_leaving; // Lives that said so; small, and kept.
+    std::set<std::string, std::less<>> m_saidDraining; // Lives that said so; small, and kept.
     MonotonicTime m_listReadAt {};
     uint64_t m_version = 0;
 };
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -183,7 +183,7 @@
         if (!isInPlace || !mayForm || !input.isUsable(host->id))
             return false;
         formation.members[rank] = host->id;
-        formation.joins[host->id].sent = input.now; // By the earlier controller; so that it leaves if this fails.
+        formation.joins[host->id].sent = input.now; // By the earlier controller; so that it drains if this fails.
         // Its last model is this one already, whether it has it or not.
         if (host->status.membership->state == MemberState::Joining && !host->status.isStaged(formation.model))
             formation.coldMembers.push_back(host->id);
--- a/src/fleet/servernotice.h
+++ b/src/fleet/servernotice.h
@@ -9,7 +9,7 @@
 
 // What a backend server says of itself beside the answer to a request.
 struct ServerNotice {
-    bool isLeaving = false; // It takes nothing more before long, and this life of it does not stay.
+    bool isDraining = false; // It takes nothing more before long, and this life of it does not stay.
     // That it takes from all nodes together; nothing if it names no limit. At least 0.
     std::optional<double> requestsPerSecond;
     // For which this node is to send it nothing, as it refused a request; nothing if it asks for none.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -61,7 +61,7 @@
     asio::awaitable<bool> readOwnHead(PeerConnection&, std::unique_ptr<BodyParser>&, Reply&);
     // What the backend server says of itself beside its answer.
     void noteServer(const Reply&);
-    void noteLeaving(const Reply&);
+    void noteDraining(const Reply&);
     void noteBackoff(const Reply&);
     void noteLimit(const Reply&);
     asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -157,20 +157,20 @@
             { { "id", m_call.id }, { "host", m_hostId },
                 { "text", notice.unreadable.substr(0, longestNoticeLogged) } });
     }
-    if (notice.isLeaving)
-        noteLeaving(reply);
+    if (notice.isDraining)
+        noteDraining(reply);
     if (notice.backoff)
         noteBackoff(reply);
     if (notice.unreadable.empty())
         noteLimit(reply);
 }
 
-void CallForwarder::noteLeaving(const Reply& reply)
+void CallForwarder::noteDraining(const Reply& reply)
 {
-    m_context.metrics.count("server_notices_total{kind=\"leaving\"}");
-    if (m_context.hosts.saidLeaving(m_hostId))
+    m_context.metrics.count("server_notices_total{kind=\"draining\"}");
+    if (m_context.hosts.saidDraining(m_hostId))
         m_context.log.write(
-            "server_leaving", { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status } });
+            "server_draining", { { "id", m_call.id }, { "host", m_hostId }, { "status", reply.status } });
 }
 
 void CallForwarder::noteBackoff(const Reply& reply)
--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -139,7 +139,7 @@
     EXPECT_EQ(table.find("a")->status.membership->state, MemberState::Open);
 }
 
-// A member that lost its way to the store serves on; a head gets no more requests, as the list may mean that it leaves.
+// A member that lost its way to the store serves on; a head gets no more requests, as the list may mean that it drains.
 TEST(HostTable, CountsAMemberThatTheListDropped)
 {
     HostTable table;
@@ -227,14 +227,14 @@
     EXPECT_EQ(table.replicas()[0].head, nullptr);
 }
 
-// A host that said it leaves was used again once its entry, which did not say so, came in.
-TEST(HostTable, BelievesAHostThatSaysItLeavesWhateverItsEntrySays)
+// A host that said it drains was used again once its entry, which did not say so, came in.
+TEST(HostTable, BelievesAHostThatSaysItDrainsWhateverItsEntrySays)
 {
     HostTable table;
     table.listed(hostWith(memberOf(1, MemberState::Open)), start);
     uint64_t before = table.version();
-    EXPECT_TRUE(table.saidLeaving("a"));
-    EXPECT_FALSE(table.saidLeaving("a")) << "it was known";
+    EXPECT_TRUE(table.saidDraining("a"));
+    EXPECT_FALSE(table.saidDraining("a")) << "it was known";
     EXPECT_TRUE(table.find("a")->draining);
     EXPECT_GT(table.version(), before) << "what is made of the table is made anew";
     before = table.version();
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -372,18 +372,18 @@
     }
 }
 
-TEST(PlatformCodec, ReadsThatAServerLeaves)
+TEST(PlatformCodec, ReadsThatAServerDrains)
 {
-    auto noticeOf = [](const char* leaving) {
+    auto noticeOf = [](const char* draining) {
         ResponseHead head;
-        head.set("Server-Leaving", leaving);
+        head.set("Server-Leaving", draining);
         return codec.reply(head).notice;
     };
-    EXPECT_FALSE(codec.reply(ResponseHead()).notice.isLeaving);
-    EXPECT_TRUE(noticeOf("1").isLeaving);
-    EXPECT_FALSE(noticeOf("0").isLeaving);
+    EXPECT_FALSE(codec.reply(ResponseHead()).notice.isDraining);
+    EXPECT_TRUE(noticeOf("1").isDraining);
+    EXPECT_FALSE(noticeOf("0").isDraining);
     EXPECT_EQ(noticeOf("0").unreadable, "");
-    EXPECT_FALSE(noticeOf("soon").isLeaving);
+    EXPECT_FALSE(noticeOf("soon").isDraining);
     EXPECT_NE(noticeOf("soon").unreadable, "");
 }
 
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -507,22 +507,22 @@
     EXPECT_TRUE(eventually([&] { return tired.runs > 10; })) << "its backoff is over";
 }
 
-// A server that said only in its answers that it leaves got calls until the store's list told the same.
-TEST_F(GatewayTest, SendsNothingMoreToAServerThatSaysItLeaves)
+// A server that said only in its answers that it drains got calls until the store's list told the same.
+TEST_F(GatewayTest, SendsNothingMoreToAServerThatSaysItDrains)
 {
     constexpr auto drain = 2s;
     startServing(0, 2);
     DeskCaller caller(m_node->callers(), "/again/x", headers(), Milliseconds(20));
-    StandinHost& leaving = *m_hosts[0];
-    ASSERT_TRUE(eventually([&] { return leaving.runs > 5; }));
-    leaving.saysLeaving = true;
-    int runsBefore = leaving.runs;
-    ASSERT_TRUE(eventually([&] { return leaving.runs > runsBefore; }));
+    StandinHost& draining = *m_hosts[0];
+    ASSERT_TRUE(eventually([&] { return draining.runs > 5; }));
+    draining.saysDraining = true;
+    int runsBefore = draining.runs;
+    ASSERT_TRUE(eventually([&] { return draining.runs > runsBefore; }));
     std::this_thread::sleep_for(drain);
-    runsBefore = leaving.runs;
-    leaving.announce(); // Its entry does not say it.
+    runsBefore = draining.runs;
+    draining.announce(); // Its entry does not say it.
     std::this_thread::sleep_for(drain);
-    EXPECT_EQ(leaving.runs, runsBefore);
+    EXPECT_EQ(draining.runs, runsBefore);
     EXPECT_GE(caller.served() + 2, caller.sent()) << "the other one serves its calls";
 }
 
--- a/tests/platform/gatewaysoak_test.cpp
+++ b/tests/platform/gatewaysoak_test.cpp
@@ -61,7 +61,7 @@
             std::vector<std::string> lines;
             for (auto& host : m_hosts) {
                 auto arrivals = host->arrivals();
-                for (auto& rule : { overLimits(arrivals), withinBackoffs(arrivals), afterLeaving(arrivals) }) {
+                for (auto& rule : { overLimits(arrivals), withinBackoffs(arrivals), afterDraining(arrivals) }) {
                     for (const std::string& line : rule)
                         lines.push_back(host->id() + ": " + line);
                 }
@@ -114,7 +114,7 @@
         void step()
         {
             StandinHost& host = *m_hosts[static_cast<size_t>(below(static_cast<int>(m_hosts.size())))];
-            bool isCalm = host.namedLimit < 0 && !host.isFull && !host.saysLeaving;
+            bool isCalm = host.namedLimit < 0 && !host.isFull && !host.saysDraining;
             switch (below(8)) {
             case 0:
             case 1:
@@ -125,7 +125,7 @@
             case 4:
                 return isCalm ? void() : calm(host);
             case 5:
-                return isCalm && host.id().starts_with("plain") ? leave(host) : void();
+                return isCalm && host.id().starts_with("plain") ? drain(host) : void();
             case 6:
                 note("a configuration");
                 return publish();
@@ -154,11 +154,11 @@
             note(host.id() + " is well");
         }
 
-        void leave(StandinHost& host)
+        void drain(StandinHost& host)
         {
-            host.saysLeaving = true;
+            host.saysDraining = true;
             addHost(true);
-            note(host.id() + " leaves");
+            note(host.id() + " drains");
         }
 
         // One at a time; its callers go on until it is gone.
@@ -219,7 +219,7 @@
 
 }
 
-// Limits, backoffs and leaving are kept, and every call is answered, while all of them and restarts overlap.
+// Limits, backoffs and drains are kept, and every call is answered, while all of them and restarts overlap.
 TEST(GatewaySoak, DoesAsServersSayOfThemselves)
 {
     int seed = fromEnvironment("KUMQUATPICK_SOAK_SEED", 1);
--- a/tests/platform/noticerules.cpp
+++ b/tests/platform/noticerules.cpp
@@ -70,16 +70,16 @@
     return broken;
 }
 
-std::vector<std::string> afterLeaving(std::span<const StandinHost::Arrival> arrivals)
+std::vector<std::string> afterDraining(std::span<const StandinHost::Arrival> arrivals)
 {
     std::vector<std::string> broken;
     std::map<std::string_view, Time> toldAt;
     for (const auto& arrival : arrivals) {
-        if (!arrival.saidLeaving)
+        if (!arrival.saidDraining)
             continue;
         Time told = toldAt.try_emplace(nodeOf(arrival), arrival.at).first->second;
         if (arrival.at > told + drain)
-            broken.push_back(fmt::format("a request of {} after it was told to leave", arrival.from));
+            broken.push_back(fmt::format("a request of {} after it was told that the server drains", arrival.from));
     }
     return broken;
 }
--- a/tests/platform/noticerules.h
+++ b/tests/platform/noticerules.h
@@ -15,7 +15,7 @@
 std::vector<std::string> overLimits(std::span<const StandinHost::Arrival>);
 // More than two requests from a node between half a second after it was asked for a backoff and the backoff's end.
 std::vector<std::string> withinBackoffs(std::span<const StandinHost::Arrival>);
-// Requests from a node later than two seconds after it was told that the server leaves.
-std::vector<std::string> afterLeaving(std::span<const StandinHost::Arrival>);
+// Requests from a node later than two seconds after it was told that the server drains.
+std::vector<std::string> afterDraining(std::span<const StandinHost::Arrival>);
 
 } // namespace Kumquatpick
--- a/tests/platform/standin.cpp
+++ b/tests/platform/standin.cpp
@@ -342,8 +342,8 @@
 {
     std::string callId = request.get_header_value("Attempt-Id");
     Arrival arrival { std::chrono::steady_clock::now(), callId.substr(0, callId.rfind('-')), namedLimit,
-        isFull ? backoffAsked.load() : 0, saysLeaving };
-    if (arrival.saidLeaving)
+        isFull ? backoffAsked.load() : 0, saysDraining };
+    if (arrival.saidDraining)
         response.set_header("Server-Leaving", "1");
     if (arrival.namedLimit >= 0)
         response.set_header("Server-Limit", std::to_string(arrival.namedLimit));
--- a/tests/platform/standin.h
+++ b/tests/platform/standin.h
@@ -118,10 +118,10 @@
         std::string from; // The call's id up to its last dash.
         double namedLimit = -1;
         int backoffAsked = 0;
-        bool saidLeaving = false;
+        bool saidDraining = false;
     };
     std::vector<Arrival> arrivals();
-    std::atomic<bool> saysLeaving { false }; // In its answers, not to the store.
+    std::atomic<bool> saysDraining { false }; // In its answers, not to the store.
     std::atomic<int> backoffAsked { 0 }; // Seconds, in its refusals; 0: none.
     std::atomic<bool> losesAnswers { false }; // Runs a request and closes the connection.
     std::atomic<bool> standsStill { false }; // Streams stop in the middle.
