--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -262,18 +262,4 @@
     return total;
 }
 
-Balancer::Room Balancer::room(std::string_view service, std::string_view model, MonotonicTime now) const
-{
-    Room room;
-    for (const auto& [id, target] : m_targets) {
-        bool counts = target.what.service == service && target.what.model == model
-            && std::max(target.avoidUntil, target.fullUntil) <= now;
-        if (!counts)
-            continue;
-        room.places += target.what.capacity;
-        room.taken += std::min(target.what.capacity, target.own + target.others);
-    }
-    return room;
-}
-
 } // namespace Kumquatpick
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -89,12 +89,6 @@
     uint32_t inFlightAt(std::string_view hostId) const;
     // Over all nodes.
     uint32_t inFlightOf(std::string_view service, std::string_view model) const;
-    // Free places and all places of the targets that may be chosen now.
-    struct Room {
-        uint32_t places = 0;
-        uint32_t taken = 0;
-    };
-    Room room(std::string_view service, std::string_view model, MonotonicTime now) const;
 
 private:
     struct Target {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,6 @@
 #include "gateway/gateway.h"
 
 #include "gateway/asio.h"
-#include "gateway/limitfield.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -18,17 +17,9 @@
     // Hosts write all the time; one read takes what came in this pause.
     constexpr Milliseconds hostPause { 400 };
 
-    constexpr Milliseconds keepUpPeriod { 50 };
-    constexpr int slowTicks = 20; // Of that period, for what is done once a second.
+    constexpr int slowTicks = 20; // Of keepUpPeriod, for what is done once a second.
     // A loop that stood for longer answers nobody in time; told once for each such pause.
     constexpr Milliseconds longPause { 200 };
-    // Adding up digests goes through all peers, so a large fleet does it in every few ticks.
-    constexpr size_t peersPerTick = 16;
-    constexpr Milliseconds tellStandingStillFor { 700 };
-    constexpr Milliseconds avoidOnHearsay { 800 };
-    // A refused call would have held its place for about as long as a usual answer takes.
-    constexpr double secondsPerRefused = 1.5;
-    constexpr double waitingGain = 0.05; // Each tick.
 
     // Callers use an old answer about nodes for up to three times its lifetime; connections that they hold then have
     // gone over to other nodes.
@@ -184,46 +175,6 @@
     return { [] {}, take, [] {} };
 }
 
-void Gateway::fillDigest(PeerDigest& digest) const
-{
-    digest.isReady = isReady();
-    digest.controllerTerm = m_lease.term();
-    MonotonicTime now = m_context.now();
-    for (const auto& [id, at] : m_stoodStillAt) {
-        if (now - at < tellStandingStillFor)
-            digest.standingStill.push_back(id);
-    }
-    // Where loads are exchanged, digests need not carry them as well.
-    if (!m_loads.others())
-        digest.inFlight = m_context.balancer.inFlight();
-    for (const auto& [model, demand] : m_context.demand)
-        digest.waiting[model] = demand.waiting;
-    digest.reported = m_controller.recentStatuses();
-    digest.limits = m_context.balancer.limits().news(now);
-}
-
-void Gateway::takeDigest(const PeerDigest& digest)
-{
-    m_lease.heardOfTerm(digest.controllerTerm);
-    for (const ReportedStatus& reported : digest.reported)
-        m_context.hosts.reported(reported.hostId, reported.status, m_context.now() - reported.age);
-    for (const std::string& id : digest.standingStill)
-        m_context.balancer.suspect(id, m_context.now() + avoidOnHearsay);
-    for (const NamedLimit& limit : digest.limits) {
-        if (m_context.balancer.limits().told(limit, m_context.now()))
-            m_context.log.write("server_limit",
-                { { "host", limit.hostId }, { "per_second", limitOrNull(limit.perSecond) },
-                    { "heard_from", digest.name }, { "age_ms", limit.age.count() } });
-    }
-}
-
-// A node that stops has no part in the limits any more: the others take it for gone.
-void Gateway::dealLimits()
-{
-    std::string self = m_context.isStopping ? std::string() : m_context.settings.peers.toString();
-    m_context.balancer.limits().deal(m_peers.nodesOf({}), self, m_context.now());
-}
-
 asio::awaitable<void> Gateway::keepUp()
 {
     for (int tick = 0;; ++tick) {
@@ -307,80 +258,6 @@
     return configHeardAt() && configAge() <= m_context.settings.configWithin && !m_peers.knowsNewerConfig();
 }
 
-void Gateway::refreshOthersInFlight(int tick)
-{
-    if (const LoadsByHost* others = m_loads.others())
-        return m_context.balancer.setOthersInFlight(*others);
-    if (static_cast<size_t>(tick) % (1 + m_peers.aliveCount() / peersPerTick) != 0)
-        return;
-    LoadsByHost total;
-    m_peers.forEachAlive([&](const PeerDigest& digest) {
-        for (const auto& [id, count] : digest.inFlight)
-            total[id] += count;
-    });
-    m_context.balancer.setOthersInFlight(std::move(total));
-}
-
-// A replica takes requests while its head is open and every member is at the same epoch and stays, as far as is known.
-void Gateway::refreshTargets()
-{
-    if (!m_context.routes || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
-        return;
-    LoopTime::Section section(m_context.loopTime, LoopPart::Targets);
-    m_targetsOf = m_context.hosts.version();
-    m_targetsOfRoutes = m_context.routes.get();
-    const FleetConfig& config = m_context.routes->config();
-    std::vector<ServingTarget> targets;
-    for (const ReplicaView& replica : m_context.hosts.replicas()) {
-        const ServiceSpec* service = config.service(replica.service);
-        const ModelSpec* model = service ? service->model(replica.model) : nullptr;
-        bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
-        bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
-        if (!model || !isOpen || isLeaving || !replica.isWhole(model->hostsPerReplica))
-            continue;
-        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
-            service->capacity > 0 ? service->capacity : replica.head->capacity, model->pace });
-    }
-    for (const auto& [id, host] : m_context.hosts.hosts()) {
-        const ServiceSpec* service = config.service(host.service);
-        if (service && !service->servesModels() && !host.draining)
-            targets.push_back({ id, service->name, {}, host.zone, host.capacity, 1 });
-    }
-    m_context.balancer.setTargets(std::move(targets));
-}
-
-// All streams of a replica that lost a member stop at once; they go on elsewhere rather than wait for it to break.
-void Gateway::cutStandingStill()
-{
-    MonotonicTime now = m_context.now();
-    if (m_context.off.contains(Mechanism::StandingCut))
-        return;
-    for (const std::string& id : m_context.balancer.standingStill(now)) {
-        m_stoodStillAt[id] = now;
-        size_t cut = 0;
-        std::vector<std::shared_ptr<ActiveCall>> calls(m_context.calls.begin(), m_context.calls.end());
-        for (const auto& call : calls) {
-            if (call->hostId != id || !call->backend)
-                continue;
-            call->cutStalledSend();
-            ++cut;
-        }
-        m_context.log.write("replica_stands_still", { { "host", id }, { "calls", cut } });
-        m_context.metrics.count("replicas_standing_still_total");
-        m_peers.tellAll();
-    }
-    std::erase_if(m_stoodStillAt, [&](const auto& entry) { return now - entry.second > tellStandingStillFor; });
-}
-
-void Gateway::updateDemand()
-{
-    double perSecond = 1000.0 / static_cast<double>(keepUpPeriod.count());
-    for (auto& [model, demand] : m_context.demand) {
-        demand.waiting += waitingGain * (demand.refusedSinceTick * perSecond * secondsPerRefused - demand.waiting);
-        demand.refusedSinceTick = 0;
-    }
-}
-
 void Gateway::stop()
 {
     if (m_context.isStopping)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,9 @@
     void stop();
 
 private:
+    static constexpr Milliseconds keepUpPeriod { 50 };
+    static constexpr Milliseconds tellStandingStillFor { 700 };
+
     void acceptCaller(asio::ip::tcp::socket);
     asio::awaitable<HttpResponse> answerReadiness(const HttpRequest&) const;
     asio::awaitable<HttpResponse> answerPeer(const HttpRequest&);
--- /dev/null
+++ b/src/gateway/gatewaypeers.cpp
@@ -0,0 +1,73 @@
+#include "gateway/gateway.h"
+
+#include "gateway/limitfield.h"
+
+#include <nlohmann/json.hpp>
+
+// Of the gateway: what nodes tell each other of backend servers, and what this one makes of it.
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Adding up digests goes through all peers, so a large fleet does it in every few ticks.
+    constexpr size_t peersPerTick = 16;
+    constexpr Milliseconds avoidOnHearsay { 800 };
+
+}
+
+void Gateway::fillDigest(PeerDigest& digest) const
+{
+    digest.isReady = isReady();
+    digest.controllerTerm = m_lease.term();
+    MonotonicTime now = m_context.now();
+    for (const auto& [id, at] : m_stoodStillAt) {
+        if (now - at < tellStandingStillFor)
+            digest.standingStill.push_back(id);
+    }
+    // Where loads are exchanged, digests need not carry them as well.
+    if (!m_loads.others())
+        digest.inFlight = m_context.balancer.inFlight();
+    for (const auto& [model, demand] : m_context.demand)
+        digest.waiting[model] = demand.waiting;
+    digest.reported = m_controller.recentStatuses();
+    digest.limits = m_context.balancer.limits().news(now);
+}
+
+void Gateway::takeDigest(const PeerDigest& digest)
+{
+    m_lease.heardOfTerm(digest.controllerTerm);
+    for (const ReportedStatus& reported : digest.reported)
+        m_context.hosts.reported(reported.hostId, reported.status, m_context.now() - reported.age);
+    for (const std::string& id : digest.standingStill)
+        m_context.balancer.suspect(id, m_context.now() + avoidOnHearsay);
+    for (const NamedLimit& limit : digest.limits) {
+        if (m_context.balancer.limits().told(limit, m_context.now()))
+            m_context.log.write("server_limit",
+                { { "host", limit.hostId }, { "per_second", limitOrNull(limit.perSecond) },
+                    { "heard_from", digest.name }, { "age_ms", limit.age.count() } });
+    }
+}
+
+// A node that stops has no part in the limits any more: the others take it for gone.
+void Gateway::dealLimits()
+{
+    std::string self = m_context.isStopping ? std::string() : m_context.settings.peers.toString();
+    m_context.balancer.limits().deal(m_peers.nodesOf({}), self, m_context.now());
+}
+
+void Gateway::refreshOthersInFlight(int tick)
+{
+    if (const LoadsByHost* others = m_loads.others())
+        return m_context.balancer.setOthersInFlight(*others);
+    if (static_cast<size_t>(tick) % (1 + m_peers.aliveCount() / peersPerTick) != 0)
+        return;
+    LoadsByHost total;
+    m_peers.forEachAlive([&](const PeerDigest& digest) {
+        for (const auto& [id, count] : digest.inFlight)
+            total[id] += count;
+    });
+    m_context.balancer.setOthersInFlight(std::move(total));
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/gateway/gatewaytargets.cpp
@@ -0,0 +1,78 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+// Of the gateway: which backend servers calls may go to now, and how many more would be filled.
+
+namespace Kumquatpick {
+
+namespace {
+
+    // A refused call would have held its place for about as long as a usual answer takes.
+    constexpr double secondsPerRefused = 1.5;
+    constexpr double waitingGain = 0.05; // Each tick.
+
+}
+
+// A replica takes requests while its head is open and every member is at the same epoch and stays, as far as is known.
+void Gateway::refreshTargets()
+{
+    if (!m_context.routes || (m_targetsOf == m_context.hosts.version() && m_targetsOfRoutes == m_context.routes.get()))
+        return;
+    LoopTime::Section section(m_context.loopTime, LoopPart::Targets);
+    m_targetsOf = m_context.hosts.version();
+    m_targetsOfRoutes = m_context.routes.get();
+    const FleetConfig& config = m_context.routes->config();
+    std::vector<ServingTarget> targets;
+    for (const ReplicaView& replica : m_context.hosts.replicas()) {
+        const ServiceSpec* service = config.service(replica.service);
+        const ModelSpec* model = service ? service->model(replica.model) : nullptr;
+        bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
+        bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
+        if (!model || !isOpen || isLeaving || !replica.isWhole(model->hostsPerReplica))
+            continue;
+        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
+            service->capacity > 0 ? service->capacity : replica.head->capacity, model->pace });
+    }
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        const ServiceSpec* service = config.service(host.service);
+        if (service && !service->servesModels() && !host.draining)
+            targets.push_back({ id, service->name, {}, host.zone, host.capacity, 1 });
+    }
+    m_context.balancer.setTargets(std::move(targets));
+}
+
+// All streams of a replica that lost a member stop at once; they go on elsewhere rather than wait for it to break.
+void Gateway::cutStandingStill()
+{
+    MonotonicTime now = m_context.now();
+    if (m_context.off.contains(Mechanism::StandingCut))
+        return;
+    for (const std::string& id : m_context.balancer.standingStill(now)) {
+        m_stoodStillAt[id] = now;
+        size_t cut = 0;
+        std::vector<std::shared_ptr<ActiveCall>> calls(m_context.calls.begin(), m_context.calls.end());
+        for (const auto& call : calls) {
+            if (call->hostId != id || !call->backend)
+                continue;
+            call->cutStalledSend();
+            ++cut;
+        }
+        m_context.log.write("replica_stands_still", { { "host", id }, { "calls", cut } });
+        m_context.metrics.count("replicas_standing_still_total");
+        m_peers.tellAll();
+    }
+    std::erase_if(m_stoodStillAt, [&](const auto& entry) { return now - entry.second > tellStandingStillFor; });
+}
+
+void Gateway::updateDemand()
+{
+    double perSecond = 1000.0 / static_cast<double>(keepUpPeriod.count());
+    for (auto& [model, demand] : m_context.demand) {
+        demand.waiting += waitingGain * (demand.refusedSinceTick * perSecond * secondsPerRefused - demand.waiting);
+        demand.refusedSinceTick = 0;
+    }
+}
+
+} // namespace Kumquatpick
