--- a/tests/platform/deskcaller.h
+++ b/tests/platform/deskcaller.h
@@ -13,7 +13,7 @@
 // A caller of one node that sends one request after the other, over one connection while that is open.
 class DeskCaller {
 public:
-    DeskCaller(Address node, std::string path, httplib::Headers headers, Milliseconds pause)
+    DeskCaller(const Address& node, std::string path, httplib::Headers headers, Milliseconds pause)
         : m_thread([this, node, path = std::move(path), headers = std::move(headers), pause]() mutable {
             httplib::Client client("127.0.0.1", node.port);
             client.set_keep_alive(true);
