Log what ends a call early: who cancelled it, exceptions, and calls that end without an outcome

The record of the lost requests has no line that names them. Now each call that was read has one: an exception that ends a caller's session, a background task or the watch of a connection is logged as task_failed, and the call as unfinished; what is still running when the process ends, as cut_by_exit. send_ended and request say who cancelled, request also how long after SIGTERM it came. Routine lines are limited for each event by itself, so that answered requests no longer suppress the lines that explain a broken send. The last lines wait up to 0.1 s for the reader of the log, and a lost call's line is written at once. No decision is changed.

--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -17,16 +17,25 @@
     NodeShutdown, // The shutdown grace period of the node is over.
 };
 
+// For logs.
+constexpr const char* name(CancelReason reason)
+{
+    constexpr const char* names[] = { "none", "caller_left", "deadline", "shutdown" };
+    return names[static_cast<size_t>(reason)];
+}
+
 // The cancellation state of a call in progress, used by the watch on the caller's connection, the deadline timer and
 // the detection of stalled replicas. Cancelling closes the connection to the backend server, which then stops its work
 // on the call.
 struct ActiveCall {
-    ActiveCall(asio::ip::tcp::socket& callerSocket, const asio::any_io_executor& executor)
-        : caller(callerSocket)
+    ActiveCall(std::string callId, asio::ip::tcp::socket& callerSocket, const asio::any_io_executor& executor)
+        : id(std::move(callId))
+        , caller(callerSocket)
         , timer(executor)
     {
     }
 
+    std::string id; // Of the request, as the caller chose it.
     asio::ip::tcp::socket& caller;
     asio::steady_timer timer;
     std::string hostId; // Backend server that currently handles the call; empty if none.
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -2,9 +2,8 @@
 
 #include "gateway/asio.h"
 #include "gateway/callforwarder.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -151,7 +150,9 @@
 
     CallForwarder forwarder(m_context, m_stream, std::move(call), keepAlive);
     asio::co_spawn(m_stream.get_executor(), watchForDisconnect(forwarder.active()),
-        [self = shared_from_this()](const std::exception_ptr&) {});
+        [self = shared_from_this()](const std::exception_ptr& exception) {
+            logTaskFailure(self->m_context.log, "watching a caller's connection", exception);
+        });
     bool keep = co_await forwarder.run();
     forwarder.active()->isDone = true;
     beast::error_code ignored; // Ends watchForDisconnect(); the connection may already be closed.
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -37,7 +37,7 @@
     , m_routes(context.routes)
     , m_arrived(context.now())
     , m_deadline(m_arrived + m_call.timeout.value_or(defaultTimeout))
-    , m_active(std::make_shared<ActiveCall>(caller.socket(), caller.get_executor()))
+    , m_active(std::make_shared<ActiveCall>(m_call.id, caller.socket(), caller.get_executor()))
     , m_eventStream(m_call.lastEventId)
 {
     m_context.calls.insert(m_active);
@@ -45,6 +45,8 @@
 
 CallForwarder::~CallForwarder()
 {
+    // Only an exception ends a call without an outcome.
+    recordOutcome("unfinished", m_lastError);
     m_active->isDone = true;
     m_active->timer.cancel();
     m_context.calls.erase(m_active);
@@ -310,6 +312,10 @@
         { "config", m_routes ? m_routes->version() : 0 }, { "fingerprint", fingerprintName(m_fingerprint) } };
     if (m_team)
         fields["team"] = m_team->name;
+    if (m_context.stopRequestedAt)
+        fields["arrived_after_stop_ms"] = 1000 * toSeconds(m_arrived - *m_context.stopRequestedAt);
+    if (m_active->cancelReason != CancelReason::None)
+        fields["cancelled"] = name(m_active->cancelReason);
     if (m_firstEventAt)
         fields["first_event_ms"] = 1000 * toSeconds(*m_firstEventAt - m_arrived);
     if (!reason.empty())
@@ -322,6 +328,9 @@
         m_context.log.writeRoutine("request", std::move(fields));
     else
         m_context.log.write("request", std::move(fields));
+    // The process may be killed before the next periodic flush.
+    if (outcome != "answered" && outcome != "refused")
+        m_context.log.flush();
 }
 
 } // namespace Kumquatpick
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -108,8 +108,8 @@
         m_context.log.writeRoutine("send_ended",
             { { "id", m_call.id }, { "fingerprint", fingerprintName(m_fingerprint) }, { "host", hostId },
                 { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] }, { "stalled", m_active->isStalled },
-                { "problem", m_lastError }, { "events", m_eventStream.events() },
-                { "ms", 1000 * toSeconds(m_context.now() - begun) } });
+                { "cancelled", name(m_active->cancelReason) }, { "problem", m_lastError },
+                { "events", m_eventStream.events() }, { "ms", 1000 * toSeconds(m_context.now() - begun) } });
     }
     co_return outcome;
 }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -20,6 +20,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -74,6 +75,7 @@
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
     bool isStopping = false;
+    std::optional<MonotonicTime> stopRequestedAt;
     bool hasHostList = false; // The list of backend servers was read at least once.
 
     // The configuration is recent enough that no newer one can be in force, so a route or key that it lacks does not
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -1,10 +1,9 @@
 #include "gateway/controllerloop.h"
 
 #include "gateway/asio.h"
+#include "gateway/task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -116,8 +115,8 @@
     for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
         if (address != m_addresses.end())
-            asio::co_spawn(
-                m_context.io, send(std::move(order), address->second, service.name, fencing), asio::detached);
+            asio::co_spawn(m_context.io, send(std::move(order), address->second, service.name, fencing),
+                loggingFailure(m_context.log, "sending an order"));
     }
 }
 
@@ -225,7 +224,8 @@
         contact.polledAt = now;
         ++m_statusCalls;
         Address address = m_addresses.find(id)->second;
-        asio::co_spawn(m_context.io, pollStatus(std::move(id), std::move(address)), asio::detached);
+        asio::co_spawn(m_context.io, pollStatus(std::move(id), std::move(address)),
+            loggingFailure(m_context.log, "polling a host"));
     }
 }
 
@@ -304,7 +304,8 @@
     auto poll = std::make_shared<RelayedPoll>(m_context.io.get_executor(), peers.size());
     poll->done.expires_after(relayTimeout);
     for (const std::string& peer : peers)
-        asio::co_spawn(m_context.io, pollThroughPeer(peer, hostId, address, poll), asio::detached);
+        asio::co_spawn(m_context.io, pollThroughPeer(peer, hostId, address, poll),
+            loggingFailure(m_context.log, "polling a host through a peer"));
     if (poll->unanswered > 0)
         co_await poll->done.async_wait(asTuple);
     if (poll->answer)
--- a/src/gateway/eventlog.cpp
+++ b/src/gateway/eventlog.cpp
@@ -36,18 +36,20 @@
 
 void EventLog::writeRoutine(std::string_view event, nlohmann::json fields)
 {
+    auto found = m_routineRates.find(event);
+    if (found == m_routineRates.end())
+        found = m_routineRates.emplace(event, RoutineRate {}).first;
+    RoutineRate& rate = found->second;
     MonotonicTime now = monotonicNow();
-    if (now - m_rateWindowStart >= std::chrono::seconds(1)) {
-        if (m_suppressedLines > 0)
-            write("lines_suppressed", { { "lines", m_suppressedLines } });
-        m_rateWindowStart = now;
-        m_routineLines = 0;
-        m_suppressedLines = 0;
+    if (now - rate.windowStart >= std::chrono::seconds(1)) {
+        if (rate.suppressed > 0)
+            write("lines_suppressed", { { "of", event }, { "lines", rate.suppressed } });
+        rate = { now };
     }
-    if (++m_routineLines <= routineLinesPerSecond)
+    if (++rate.lines <= routineLinesPerSecond)
         write(event, std::move(fields));
     else
-        ++m_suppressedLines;
+        ++rate.suppressed;
 }
 
 void EventLog::append(const std::string& line)
@@ -84,4 +86,16 @@
     m_buffer.erase(0, written);
 }
 
+void EventLog::drain(Milliseconds limit)
+{
+    MonotonicTime end = monotonicNow() + limit;
+    flush();
+    while (!m_buffer.empty() && monotonicNow() < end) {
+        pollfd entry { m_descriptor, POLLOUT, 0 };
+        constexpr int pollMs = 5;
+        ::poll(&entry, 1, pollMs);
+        flush();
+    }
+}
+
 } // namespace Kumquatpick
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,10 +1,9 @@
 #include "gateway/gateway.h"
 
 #include "gateway/asio.h"
+#include "gateway/task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -23,6 +22,7 @@
     // other nodes.
     constexpr int staleAnswerLifetimes = 3;
     constexpr Milliseconds stopMargin { 500 };
+    constexpr Milliseconds lastLogTime { 100 }; // For the reader of the log to take the last lines.
 
     void logConfig(GatewayContext& context, std::string_view source, MonotonicTime::duration age)
     {
@@ -50,10 +50,10 @@
           { LogReadTiming::forMaxDelay(settings.configWithin), Milliseconds(0), Milliseconds(0) }, configHandlers())
     , m_hostFollower(m_context, m_health, LogName::BackendServers,
           { LogReadTiming(maxHostLongPoll), settings.hostReadPause(), settings.quietHostReadPause() }, hostHandlers())
-    , m_callers(io, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
-    , m_readiness(io, [this](const HttpRequest& request) { return answerReadiness(request); })
-    , m_entries(io, [this](const HttpRequest& request) { return answerEntries(request); })
-    , m_peerServer(io, [this](const HttpRequest& request) { return answerPeer(request); })
+    , m_callers(io, m_context.log, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
+    , m_readiness(io, m_context.log, [this](const HttpRequest& request) { return answerReadiness(request); })
+    , m_entries(io, m_context.log, [this](const HttpRequest& request) { return answerEntries(request); })
+    , m_peerServer(io, m_context.log, [this](const HttpRequest& request) { return answerPeer(request); })
 {
     m_hostFollower.setReadFromPeer(
         [this](uint64_t from, bool isStoreUnavailable) { return m_peers.reads().readHosts(from, isStoreUnavailable); });
@@ -90,14 +90,15 @@
                 { "allowed", "a number of cores above 0, such as 0.25" } });
     m_context.log.write(
         "started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
-    asio::co_spawn(m_context.io, m_configFollower.run(), asio::detached);
-    asio::co_spawn(m_context.io, m_hostFollower.run(), asio::detached);
-    asio::co_spawn(m_context.io, m_lease.follow(), asio::detached);
-    asio::co_spawn(m_context.io, m_lease.run(), asio::detached);
-    asio::co_spawn(m_context.io, m_controller.run(), asio::detached);
-    asio::co_spawn(m_context.io, m_peers.run(), asio::detached);
-    asio::co_spawn(m_context.io, m_loads.run(), asio::detached);
-    asio::co_spawn(m_context.io, runMaintenance(), asio::detached);
+    asio::co_spawn(m_context.io, m_configFollower.run(), loggingFailure(m_context.log, "following the configuration"));
+    asio::co_spawn(
+        m_context.io, m_hostFollower.run(), loggingFailure(m_context.log, "following the list of backend servers"));
+    asio::co_spawn(m_context.io, m_lease.follow(), loggingFailure(m_context.log, "following the controller's log"));
+    asio::co_spawn(m_context.io, m_lease.run(), loggingFailure(m_context.log, "claiming the lease"));
+    asio::co_spawn(m_context.io, m_controller.run(), loggingFailure(m_context.log, "controlling replicas"));
+    asio::co_spawn(m_context.io, m_peers.run(), loggingFailure(m_context.log, "exchanging state with nodes"));
+    asio::co_spawn(m_context.io, m_loads.run(), loggingFailure(m_context.log, "exchanging loads"));
+    asio::co_spawn(m_context.io, runMaintenance(), loggingFailure(m_context.log, "maintenance"));
     return std::monostate {};
 }
 
@@ -105,7 +106,9 @@
 {
     auto session = std::make_shared<CallerSession>(m_context, std::move(socket));
     m_sessions.push_back(session);
-    asio::co_spawn(m_context.io, session->run(), [session](const std::exception_ptr&) {});
+    asio::co_spawn(m_context.io, session->run(), [this, session](const std::exception_ptr& exception) {
+        logTaskFailure(m_context.log, "serving a caller's connection", exception);
+    });
 }
 
 bool Gateway::isReady() const { return m_context.routes && m_context.hasHostList && !m_context.isStopping; }
@@ -273,9 +276,11 @@
     if (m_context.isStopping)
         return;
     m_context.isStopping = true;
+    m_context.stopRequestedAt = m_context.now();
     m_context.log.write("stopping", { { "calls", m_context.calls.size() } });
+    m_context.log.flush();
     m_peers.exchangeNow();
-    asio::co_spawn(m_context.io, stopGracefully(), asio::detached);
+    asio::co_spawn(m_context.io, stopGracefully(), loggingFailure(m_context.log, "stopping"));
 }
 
 // A stopping node is no longer in the list of nodes that callers request. It serves calls until every caller must have
@@ -303,8 +308,11 @@
     for (const auto& call : remaining)
         call->cancel(CancelReason::NodeShutdown);
     co_await sleepFor(maintenancePeriod);
-    m_context.log.write("stopped", { { "cancelled_calls", remaining.size() } });
-    m_context.log.flush();
+    for (const auto& call : m_context.calls)
+        m_context.log.write("request", { { "id", call->id }, { "host", call->hostId }, { "outcome", "cut_by_exit" } });
+    m_context.log.write(
+        "stopped", { { "cancelled_calls", remaining.size() }, { "cut_calls", m_context.calls.size() } });
+    m_context.log.drain(lastLogTime);
     m_context.io.stop();
 }
 
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -1,9 +1,8 @@
 #include "gateway/listener.h"
 
 #include "gateway/asio.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -19,8 +18,9 @@
 
 }
 
-GatewayListener::GatewayListener(asio::io_context& io, Accept accept)
+GatewayListener::GatewayListener(asio::io_context& io, EventLog& log, Accept accept)
     : m_io(io)
+    , m_log(log)
     , m_acceptor(io)
     , m_accept(std::move(accept))
 {
@@ -40,7 +40,7 @@
         m_acceptor.listen(backlog, error);
     if (error)
         return Error { ErrorCode::InvalidArgument, Step::Settings, address.toString(), error.message() };
-    asio::co_spawn(m_io, run(), asio::detached);
+    asio::co_spawn(m_io, run(), loggingFailure(m_log, "accepting connections"));
     return m_acceptor.local_endpoint().port();
 }
 
@@ -61,11 +61,13 @@
     }
 }
 
-SimpleHttpServer::SimpleHttpServer(asio::io_context& io, Answer answer)
+SimpleHttpServer::SimpleHttpServer(asio::io_context& io, EventLog& log, Answer answer)
     : m_io(io)
+    , m_log(log)
     , m_answer(std::move(answer))
-    , m_listener(
-          io, [this](asio::ip::tcp::socket socket) { asio::co_spawn(m_io, serve(std::move(socket)), asio::detached); })
+    , m_listener(io, log, [this](asio::ip::tcp::socket socket) {
+        asio::co_spawn(m_io, serve(std::move(socket)), loggingFailure(m_log, "answering another program"));
+    })
 {
 }
 
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -1,10 +1,9 @@
 #include "gateway/loadexchange.h"
 
 #include "gateway/asio.h"
+#include "gateway/task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -157,7 +156,8 @@
         if (adding.empty())
             continue;
         m_pendingZones.insert(zone);
-        asio::co_spawn(m_context.io, exchangeWithZone(zone, adding.front()), asio::detached);
+        asio::co_spawn(m_context.io, exchangeWithZone(zone, adding.front()),
+            loggingFailure(m_context.log, "exchanging loads with a zone"));
     }
 }
 
--- a/src/gateway/peerreads.cpp
+++ b/src/gateway/peerreads.cpp
@@ -2,9 +2,8 @@
 
 #include "gateway/asio.h"
 #include "gateway/peers.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -50,7 +49,8 @@
 {
     bool waitsForStore = configVersion() > 0 && !m_fetchesConfigs();
     if (auto peer = m_catchUp.beginFetch(configVersion(), waitsForStore, m_context.now(), m_context.random))
-        asio::co_spawn(m_context.io, fetchConfig(std::move(*peer)), asio::detached);
+        asio::co_spawn(
+            m_context.io, fetchConfig(std::move(*peer)), loggingFailure(m_context.log, "fetching a configuration"));
 }
 
 asio::awaitable<void> PeerReads::fetchConfig(std::string address)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -3,9 +3,8 @@
 #include "gateway/asio.h"
 #include "gateway/nodecodec.h"
 #include "gateway/relay.h"
+#include "gateway/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -82,7 +81,8 @@
     }
     for (std::string& target : targets) {
         if (!m_calls.contains(target))
-            asio::co_spawn(m_context.io, exchangeWith(std::move(target)), asio::detached);
+            asio::co_spawn(m_context.io, exchangeWith(std::move(target)),
+                loggingFailure(m_context.log, "exchanging state with a node"));
     }
 }
 
