--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Kumquatpick {
@@ -51,6 +53,27 @@
                 planner.orderEnded(order, handleOrder(order), now);
             }
             reportAwaitedHosts();
+            finishClosing();
+        }
+    }
+
+    // Heads whose requests have ended since they were closed return to ready.
+    void finishClosing()
+    {
+        if (!closingDuration)
+            return;
+        for (const auto& [id, closedAt] : std::exchange(m_closedAt, {})) {
+            const Host* host = table.find(id);
+            if (!host || !host->status.membership || host->status.membership->state != MemberState::Closing)
+                continue;
+            if (now - closedAt < *closingDuration) {
+                m_closedAt.emplace(id, closedAt);
+                continue;
+            }
+            HostStatus status = host->status;
+            status.membership->state = MemberState::Ready;
+            status.ordersAccepted = ordersAccepted[id];
+            table.applyReport(id, status, now);
         }
     }
 
@@ -100,6 +123,8 @@
             if (!isMember)
                 return OrderResult::Unfit;
             status.membership->state = order.kind == OrderKind::Open ? MemberState::Open : MemberState::Closing;
+            if (order.kind == OrderKind::Close)
+                m_closedAt.try_emplace(order.hostId, now);
             break;
         case OrderKind::Stage:
             ++loadsByStage;
@@ -139,6 +164,7 @@
     std::set<std::string> stalledHeads;
     std::set<std::string, std::less<>> nonReportingHosts; // Listed hosts that do not report.
     std::map<std::string, uint64_t, std::less<>> ordersAccepted; // As counted by the hosts.
+    std::optional<Milliseconds> closingDuration; // How long a closed head finishes its requests; nothing: for ever.
     bool isBeforeTraffic = true;
     std::function<OrderResult(const HostOrder&)> handleOrder
         = [this](const HostOrder& order) { return applyOrder(order); };
@@ -146,6 +172,9 @@
     int loadsByJoin = 0; // From the weight store.
     int loadsByStage = 0;
     MonotonicTime now { std::chrono::hours(1) };
+
+private:
+    std::map<std::string, MonotonicTime> m_closedAt; // By head.
 };
 
 inline ModelSpec makeModel(std::string name, uint32_t hosts)
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -380,6 +380,7 @@
     auto large = std::ranges::find(replicas, std::string("large"), &ReplicaView::model);
     ASSERT_NE(large, replicas.end());
     world.isBeforeTraffic = false;
+    world.closingDuration = Milliseconds(500);
     world.wantedReplicas = { { "large", 3 }, { "small", 4 } };
     world.loadsByJoin = 0;
     for (const Host* lost : { large->members[1], large->members[2] })
@@ -390,6 +391,27 @@
     EXPECT_EQ(world.loadsByJoin, 0);
 }
 
+// A replica that gave way to another model was ordered to leave while it was still finishing its requests, which broke
+// their streams.
+TEST(ReplicaPlanner, RetiringReplicaLeavesOnceItsRequestsHaveEnded)
+{
+    PlannerWorld world({ makeModel("large", 4), makeModel("small", 2) });
+    world.wantedReplicas = { { "large", 1 }, { "small", 8 } };
+    for (int i = 0; i < 10; ++i)
+        world.addHost("host-" + std::to_string(i), "d1");
+    world.run(Milliseconds(2000));
+    world.isBeforeTraffic = false;
+    world.wantedReplicas = { { "large", 6 }, { "small", 1 } };
+    world.orders.clear();
+    world.run(Milliseconds(4000));
+    auto isOf = [](OrderKind kind) { return [kind](const HostOrder& order) { return order.kind == kind; }; };
+    ASSERT_TRUE(std::ranges::any_of(world.orders, isOf(OrderKind::Close)));
+    EXPECT_TRUE(std::ranges::none_of(world.orders, isOf(OrderKind::Leave))) << "their requests still run";
+    world.closingDuration = Milliseconds(0);
+    world.run(Milliseconds(3000));
+    EXPECT_GE(std::ranges::count(world.openReplicas(), std::string("large"), &ReplicaView::model), 2);
+}
+
 // Three idle hosts hold the large model, whose replicas take four, and no host is added. This state arises when
 // replicas lose one member after another. Two of the hosts load the small model and serve again.
 TEST(ReplicaPlanner, StrandedIdleHostsLoadAnotherModel)
@@ -419,6 +441,7 @@
 TEST(ReplicaPlanner, ShiftsInSeveralDomainsOfALargeFleet)
 {
     LargeWorld world;
+    world.closingDuration = Milliseconds(500);
     world.wantedReplicas = { { "large", 5 }, { "small", 150 } };
     world.run(Milliseconds(25'000));
     world.isBeforeTraffic = false;
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -237,6 +237,63 @@
         << "the gateway aborts the work there";
 }
 
+// Streams of a silent replica were closed although no other replica could continue them.
+TEST_F(GatewayTest, KeepsStreamsOfASilentReplicaThatHaveNowhereToGo)
+{
+    startServing(2, 0);
+    std::vector<std::optional<httplib::Response>> answers(3);
+    std::vector<std::thread> callers;
+    callers.reserve(answers.size());
+    for (auto& answer : answers)
+        callers.emplace_back([&] { answer = call("/story/x"); });
+    FakeHost* silent = openHeads()[0];
+    int sentBefore = silent->eventsSent;
+    ASSERT_TRUE(eventually([&] { return silent->runs >= 3 && silent->eventsSent >= sentBefore + 6; }));
+    silent->isStalled = true;
+    std::this_thread::sleep_for(2s);
+    silent->isStalled = false;
+    for (auto& caller : callers)
+        caller.join();
+    for (auto& answer : answers) {
+        ASSERT_TRUE(answer) << "the connection was closed before the end of the stream";
+        EXPECT_EQ(answer->body, completeStream());
+    }
+    EXPECT_EQ(silent->abortedStreams, 0);
+}
+
+// The order to close a replica with a leaving member ended the streams that it was running.
+TEST_F(GatewayTest, LetsAReplicaWithALeavingMemberFinishItsStreams)
+{
+    startServing(4, 0);
+    std::vector<std::optional<httplib::Response>> answers(4);
+    std::vector<std::thread> callers;
+    callers.reserve(answers.size());
+    for (auto& answer : answers)
+        callers.emplace_back([&] { answer = call("/story/x", "key-1", FakeHost::pausePrefix + std::string("150")); });
+    ASSERT_TRUE(eventually([&] { return runs() == 4; }));
+    auto leaving = std::ranges::find_if(m_hosts, [](auto& host) { return !host->isOpenHead(); });
+    (*leaving)->isDraining = true;
+    (*leaving)->announce();
+    for (auto& caller : callers)
+        caller.join();
+    for (auto& answer : answers) {
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->body, completeStream());
+    }
+    for (auto& host : m_hosts)
+        EXPECT_EQ(host->droppedStreams, 0) << host->id();
+    EXPECT_EQ(openHeads().size(), 1u) << "the other replica goes on";
+}
+
+// A slow plain server was left although no other one could take the request.
+TEST_F(GatewayTest, WaitsForASlowServerIfThereIsNoOther)
+{
+    startServing(0, 1);
+    m_hosts[0]->answerDelay = 2000;
+    EXPECT_EQ(status("/again/x"), 200);
+    EXPECT_EQ(m_hosts[0]->runs, 1);
+}
+
 TEST_F(GatewayTest, AbortsStreamsOfDisconnectedCallers)
 {
     startServing(2, 0);
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -13,6 +13,7 @@
     using namespace std::chrono_literals;
 
     constexpr time_t idleSeconds = 1;
+    constexpr Milliseconds eventPause { 30 };
     constexpr auto unansweredCallDuration = 5s; // Longer than the gateway waits for an answer of the store.
     constexpr size_t storeThreads = 64; // Each unanswered call occupies a thread.
     constexpr auto crashDuration = 700ms;
@@ -232,6 +233,7 @@
     : m_store(store)
     , m_options(std::move(options))
 {
+    m_http.new_task_queue = [threads = m_options.threads] { return new httplib::ThreadPool(threads); };
     m_http.set_pre_routing_handler([this](const auto&, auto& response) {
         if (!isFailing)
             return httplib::Server::HandlerResponse::Unhandled;
@@ -355,9 +357,14 @@
         } else if (!isMember) {
             return writeJson(response, operation == "leave" ? 200 : 409, {});
         } else if (operation == "leave") {
+            dropStreams();
             m_state.clear();
+        } else if (operation == "close") {
+            if (body["closeMode"] == "reject")
+                dropStreams();
+            m_state = m_runningStreams > 0 ? "closing" : "ready";
         } else {
-            m_state = operation == "open" ? "open" : "ready";
+            m_state = "open";
         }
         ++m_ordersAccepted;
     }
@@ -436,14 +443,69 @@
     response.set_content_provider(1000, "text/plain", [](size_t, size_t, httplib::DataSink&) { return false; });
 }
 
+// Ends all running streams at their next event.
+void FakeHost::dropStreams()
+{
+    ++m_streamDrops;
+    m_runningStreams = 0;
+}
+
+bool FakeHost::areStreamsDropped(int dropsBefore)
+{
+    std::lock_guard lock(m_mutex);
+    return m_streamDrops != dropsBefore;
+}
+
+// A closed head returns to ready after its last stream.
+void FakeHost::endStream()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_runningStreams = std::max(0, m_runningStreams - 1);
+        if (m_state != "closing" || m_runningStreams > 0)
+            return;
+        m_state = "ready";
+    }
+    announce();
+}
+
+void FakeHost::recordActivity(const std::string& callId)
+{
+    std::lock_guard lock(m_mutex);
+    m_streamRuns[callId].lastActiveAt = std::chrono::steady_clock::now();
+}
+
+std::map<std::string, RunRecord> FakeHost::streamRuns()
+{
+    std::lock_guard lock(m_mutex);
+    return m_streamRuns;
+}
+
 void FakeHost::stream(const httplib::Request& request, httplib::Response& response)
 {
+    std::string callId = request.get_header_value("Attempt-Id");
+    int drops = 0;
+    Milliseconds pause = eventPause;
+    if (request.body.starts_with(pausePrefix))
+        pause = Milliseconds(std::stoi(request.body.substr(std::string_view(pausePrefix).size())));
+    {
+        std::lock_guard lock(m_mutex);
+        m_streamRuns[callId].begunAt = std::chrono::steady_clock::now();
+        ++m_runningStreams;
+        drops = m_streamDrops;
+    }
     int first = request.has_header("Last-Event-Id") ? std::stoi(request.get_header_value("Last-Event-Id")) + 1 : 1;
     response.set_chunked_content_provider(
-        "text/event-stream", [this, next = first](size_t, httplib::DataSink& sink) mutable {
-            std::this_thread::sleep_for(30ms);
+        "text/event-stream",
+        [this, callId, pause, drops, next = first](size_t, httplib::DataSink& sink) mutable {
+            std::this_thread::sleep_for(pause);
+            recordActivity(callId);
             if (m_isCrashed)
                 return false;
+            if (areStreamsDropped(drops)) {
+                ++droppedStreams;
+                return false;
+            }
             if (isStalled)
                 return sink.is_writable() || (++abortedStreams, false);
             if (next > eventsPerStream) {
@@ -454,7 +516,8 @@
             ++next;
             ++eventsSent;
             return sink.write(event.data(), event.size()) || (++abortedStreams, false);
-        });
+        },
+        [this](bool) { endStream(); });
 }
 
 } // namespace Kumquatpick
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/address.h"
+#include "platform/lossrules.h"
 #include <httplib.h>
 
 #include <atomic>
@@ -102,6 +103,7 @@
         std::string service;
         std::string domain;
         bool isPlain = false;
+        size_t threads = 24; // Streams at once.
     };
 
     FakeHost(FakeStore&, Options);
@@ -119,6 +121,7 @@
     std::atomic<int> runs { 0 }; // Requests that were executed.
     std::atomic<int> eventsSent { 0 };
     std::atomic<int> abortedStreams { 0 }; // Streams whose reader disconnected before the end.
+    std::atomic<int> droppedStreams { 0 }; // Streams that an order ended.
     std::atomic<bool> refusesRequests { false }; // Refuses requests and marks them as not executed.
     std::atomic<double> announcedLimit { -1 }; // Requests per second, announced in answers; below 0: none.
     // A request that was executed or refused, and the notices sent in the answer.
@@ -144,6 +147,10 @@
     std::atomic<bool> failsRequests { false }; // Runs every request and answers it with 500.
     std::atomic<int> answerDelay { 0 }; // Milliseconds until an answer begins.
     std::atomic<bool> isStalled { false }; // Streams stay open without further events.
+    // A body of this and a number: the pause before each event, in milliseconds, for this request.
+    static constexpr const char* pausePrefix = "pause ";
+    // The streams that it ran, by attempt id; of a resumed one the last run.
+    std::map<std::string, RunRecord> streamRuns();
     std::atomic<bool> isDraining { false };
     std::atomic<bool> isFailing { false }; // Answers every request with 500.
     std::atomic<int> ordersToDelay { 0 }; // Number of orders to carry out only after the sender has timed out.
@@ -161,6 +168,10 @@
     void runCrashingRequest(const httplib::Request&, httplib::Response&);
     void prepareRestart() override;
     void stream(const httplib::Request&, httplib::Response&);
+    void recordActivity(const std::string& callId);
+    void dropStreams();
+    bool areStreamsDropped(int dropsBefore);
+    void endStream();
 
     FakeStore& m_store;
     Options m_options;
@@ -175,8 +186,11 @@
     std::string m_staged;
     std::string m_state;
     int m_rank = 0;
+    int m_runningStreams = 0;
+    int m_streamDrops = 0; // Orders that ended all streams.
     std::vector<Arrival> m_arrivals;
     std::vector<CrashingArrival> m_crashingArrivals;
+    std::map<std::string, RunRecord> m_streamRuns;
 };
 
 } // namespace Kumquatpick
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -45,6 +45,7 @@
     void resume();
     void terminate(); // Asks it to stop.
     void kill();
+    void send(int signal);
 
     bool isRunning();
     // Waits for its end; 128 and the signal's number if a signal ended it. Nothing if it goes on after the limit.
@@ -56,8 +57,6 @@
     uint64_t residentBytes() const;
 
 private:
-    void send(int signal);
-
     pid_t m_pid = -1;
     std::string m_files;
     std::optional<int> m_exitCode;
