Take on a stopping node only what it can finish

What callers saw: a stream that arrived over 3 s after SIGTERM was passed on and cut off at 7.5 s; with a grace of 2 s all running streams were cut at 1.5 s, and a store without answers to the lease's release came before everything else.

Cause: how long a stopping node takes calls was a sum of two constants that knew nothing of the time that is left, nor of how long the call may last. StopPlan decides both, without I/O: a call is taken if its deadline ends it before the cut, or, while callers can't know of the stop, if calls of its route usually end in time; the others are refused at once and sent to another node. The cut lies within the last sixth of any grace; the lease is released beside it; the process ends once no session is busy, not 50 ms after the last look at the calls, and a connection that was closed as idle does not forward bytes that were read just before.

--- /dev/null
+++ b/src/fleet/stopplan.cpp
@@ -0,0 +1,51 @@
+#include "fleet/stopplan.h"
+
+#include <algorithm>
+
+namespace Kumquatpick {
+
+namespace {
+
+    // Callers use an outdated list of nodes for up to three times its lifetime; by then their connections have moved to
+    // other nodes.
+    constexpr int staleListLifetimes = 3;
+    // Until the other nodes have dropped this one from the lists that they hand out.
+    constexpr Milliseconds newsDelay { 500 };
+    // A call that arrives later and is cut off counts as lost, whatever its server was doing.
+    constexpr Milliseconds maxUnsureArrival { 3000 };
+
+    // Between the cut and the end of the grace period: the last answers and log lines are written. The cut lies within
+    // the last sixth of the grace period, before which no running call is cut off.
+    constexpr Milliseconds longestCutMargin { 500 };
+    constexpr int cutMarginDivisor = 8;
+
+    Milliseconds cutMargin(Milliseconds grace) { return std::min(longestCutMargin, grace / cutMarginDivisor); }
+
+}
+
+StopPlan::StopPlan(MonotonicTime requestedAt, Milliseconds grace, Milliseconds listLifetime)
+    : m_requestedAt(requestedAt)
+    , m_grace(grace)
+    , m_listLifetime(listLifetime)
+{
+}
+
+bool StopPlan::mayTake(
+    MonotonicTime now, MonotonicTime deadline, std::optional<MonotonicTime::duration> usualDuration) const
+{
+    if (deadline <= cutAt())
+        return true;
+    bool mayBeCut = now < m_requestedAt + std::min(maxUnsureArrival, m_listLifetime * staleListLifetimes);
+    return mayBeCut && usualDuration && now + *usualDuration <= cutAt();
+}
+
+MonotonicTime StopPlan::callersLeftAt() const
+{
+    return std::min(m_requestedAt + m_listLifetime * staleListLifetimes + newsDelay, cutAt());
+}
+
+MonotonicTime StopPlan::cutAt() const { return m_requestedAt + m_grace - cutMargin(m_grace); }
+
+MonotonicTime StopPlan::exitAt() const { return m_requestedAt + m_grace - cutMargin(m_grace) / 2; }
+
+} // namespace Kumquatpick
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -55,18 +55,22 @@
     return m_context.routes ? m_context.routes->config().limits : defaults;
 }
 
-void CallerSession::closeIfIdle()
+bool CallerSession::closeIfIdle()
 {
     if (!m_isIdle)
-        return;
+        return false;
+    m_isClosed = true;
     beast::error_code ignored;
     m_stream.socket().close(ignored);
+    return true;
 }
 
 asio::awaitable<void> CallerSession::run()
 {
     bool keep = true;
-    while (keep && m_stream.socket().is_open() && co_await awaitFirstByte()) {
+    // Bytes may have been read just before the connection was closed as idle. Their request is not forwarded, because
+    // its answer could not be delivered.
+    while (keep && m_stream.socket().is_open() && co_await awaitFirstByte() && !m_isClosed) {
         m_isIdle = false;
         RequestParser parser;
         parser.header_limit(limits().headerBytes);
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -16,8 +16,8 @@
 
     asio::awaitable<void> run();
     // Closes the connection if no part of a request was read, so that the caller can safely repeat the request it was
-    // about to send.
-    void closeIfIdle();
+    // about to send. Returns false if the session is busy with a request or its answer.
+    bool closeIfIdle();
 
 private:
     using RequestParser = http::request_parser<http::string_body>;
@@ -35,6 +35,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     bool m_isIdle = true;
+    bool m_isClosed = false; // By closeIfIdle().
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -23,6 +23,8 @@
     constexpr uint32_t resumeQueueExtra = 12;
     // Requests that the caller retries may queue deeper, because a second refusal is final.
     constexpr uint32_t retryQueueExtra = 2;
+    // Another node takes at once what a stopping one refuses.
+    constexpr Milliseconds otherNodeRetryAfter { 50 };
     // Random range added to the retry delay.
     constexpr Milliseconds minRetryAfter { 400 };
     constexpr Milliseconds retryAfterJitter { 900 };
@@ -70,6 +72,11 @@
     m_fingerprint = requestFingerprint(
         { m_call.target, m_call.body, m_team ? std::string_view(m_team->name) : std::string_view(), m_call.host });
     startDeadlineTimer();
+    if (!fitsStop()) {
+        co_await respond(refusalResponse(http::status::service_unavailable, "this node is stopping",
+            m_context.hasOtherNodes ? otherNodeRetryAfter : retryAfterDelay()));
+        co_return false;
+    }
     SendOutcome outcome = SendOutcome::NotRun;
     do {
         if (!co_await awaitHost())
@@ -77,10 +84,12 @@
         outcome = co_await sendOnce();
     } while (outcome != SendOutcome::Answered && maySendAgain(outcome, m_context.now()));
 
-    if (outcome == SendOutcome::Answered)
+    if (outcome == SendOutcome::Answered) {
+        m_context.answerTimes.record(m_route->name, m_context.now() - m_arrived);
         recordOutcome("answered", {});
-    else
+    } else {
         co_await respondWithFailure();
+    }
     bool callerStays = m_active->cancelReason != CancelReason::CallerDisconnected;
     co_return m_keepAlive&& callerStays&& m_caller.socket().is_open();
 }
@@ -119,6 +128,13 @@
     });
 }
 
+// Whether the call may be taken although the node is stopping.
+bool CallForwarder::fitsStop() const
+{
+    return !m_context.stopPlan
+        || m_context.stopPlan->mayTake(m_arrived, m_deadline, m_context.answerTimes.usualDuration(m_route->name));
+}
+
 // Detects by its shorter timeout a request that was refused before.
 bool CallForwarder::isCallerRetry()
 {
@@ -221,7 +237,7 @@
 
 asio::awaitable<void> CallForwarder::respond(HttpResponse response)
 {
-    if (!m_keepAlive || m_context.isStopping) {
+    if (!m_keepAlive || m_context.isStopping()) {
         m_keepAlive = false;
         response.keep_alive(false);
     }
@@ -312,8 +328,8 @@
         { "config", m_routes ? m_routes->version() : 0 }, { "fingerprint", fingerprintName(m_fingerprint) } };
     if (m_team)
         fields["team"] = m_team->name;
-    if (m_context.stopRequestedAt)
-        fields["arrived_after_stop_ms"] = 1000 * toSeconds(m_arrived - *m_context.stopRequestedAt);
+    if (m_context.stopPlan)
+        fields["arrived_after_stop_ms"] = 1000 * toSeconds(m_arrived - m_context.stopPlan->requestedAt());
     if (m_active->cancelReason != CancelReason::None)
         fields["cancelled"] = name(m_active->cancelReason);
     if (m_firstEventAt)
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -45,6 +45,7 @@
     bool findRoute();
     bool authenticateTeam();
     void startDeadlineTimer();
+    bool fitsStop() const;
     bool isCallerRetry();
     int priority() const;
     MonotonicTime hostWaitDeadline() const;
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -386,7 +386,7 @@
         m_context.platform.removeInternalHeaders(response);
         response.version(11);
         response.chunked(true);
-        if (!m_keepAlive || m_context.isStopping) {
+        if (!m_keepAlive || m_context.isStopping()) {
             m_keepAlive = false;
             response.keep_alive(false);
         }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "base/random.h"
+#include "fleet/answertimes.h"
 #include "fleet/balancer.h"
 #include "fleet/hosttable.h"
 #include "fleet/looppauses.h"
@@ -9,6 +10,7 @@
 #include "fleet/retryallowance.h"
 #include "fleet/retrydetector.h"
 #include "fleet/routetable.h"
+#include "fleet/stopplan.h"
 #include "gateway/activecall.h"
 #include "gateway/connectionpool.h"
 #include "gateway/eventlog.h"
@@ -72,10 +74,11 @@
     SuspicionState suspicion; // Requests that end the servers which run them; hosts by their incarnations.
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
+    AnswerTimes answerTimes;
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
-    bool isStopping = false;
-    std::optional<MonotonicTime> stopRequestedAt;
+    std::optional<StopPlan> stopPlan; // Set once the node was told to stop.
+    bool hasOtherNodes = false; // Callers get the addresses of other nodes that take calls.
     bool hasHostList = false; // The list of backend servers was read at least once.
 
     // The configuration is recent enough that no newer one can be in force, so a route or key that it lacks does not
@@ -91,6 +94,7 @@
     }
     bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
 
+    bool isStopping() const { return stopPlan.has_value(); }
     MonotonicTime now() const { return monotonicNow(); }
     double drawUniform() { return std::uniform_real_distribution<double>(0, 1)(random); }
 };
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -54,7 +54,7 @@
         if (m_context.routes)
             updateDemand();
         auto fencing = m_lease.fencing();
-        if (fencing && m_context.routes && m_context.hasHostList && !m_context.isStopping)
+        if (fencing && m_context.routes && m_context.hasHostList && !m_context.isStopping())
             tick(*fencing);
     }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,10 +18,7 @@
     // A longer pause of the event loop delays all responses too much. Each such pause is logged.
     constexpr Milliseconds longPause { 200 };
 
-    // Callers use an outdated list of nodes for up to three times its lifetime; by then their connections have moved to
-    // other nodes.
-    constexpr int staleAnswerLifetimes = 3;
-    constexpr Milliseconds stopMargin { 500 };
+    constexpr Milliseconds lastAnswersPoll { 10 };
     constexpr Milliseconds lastLogTime { 100 }; // For the reader of the log to take the last lines.
 
     void logConfig(GatewayContext& context, std::string_view source, MonotonicTime::duration age)
@@ -111,7 +108,7 @@
     });
 }
 
-bool Gateway::isReady() const { return m_context.routes && m_context.hasHostList && !m_context.isStopping; }
+bool Gateway::isReady() const { return m_context.routes && m_context.hasHostList && !m_context.isStopping(); }
 
 asio::awaitable<HttpResponse> Gateway::answerReadiness(const HttpRequest& request) const
 {
@@ -273,41 +270,35 @@
 
 void Gateway::stop()
 {
-    if (m_context.isStopping)
+    if (m_context.isStopping())
         return;
-    m_context.isStopping = true;
-    m_context.stopRequestedAt = m_context.now();
+    m_context.stopPlan.emplace(m_context.now(), m_context.settings.stopGrace, m_context.settings.entriesLifetime);
+    m_context.hasOtherNodes = !m_peers.callerAddresses().empty();
     m_context.log.write("stopping", { { "calls", m_context.calls.size() } });
     m_context.log.flush();
     m_peers.exchangeNow();
+    // Other nodes take over once it is released; if the store does not answer, they wait for the lease to expire.
+    asio::co_spawn(m_context.io, m_lease.release(), loggingFailure(m_context.log, "releasing the lease"));
     asio::co_spawn(m_context.io, stopGracefully(), loggingFailure(m_context.log, "stopping"));
 }
 
-// A stopping node is no longer in the list of nodes that callers request. It serves calls until every caller must have
-// refreshed its list. Only then are connections without a request closed.
+// A stopping node is no longer in the list of nodes that callers request. It takes calls that it can finish until every
+// caller must have refreshed its list. Only then are connections without a request closed.
 asio::awaitable<void> Gateway::stopGracefully()
 {
-    MonotonicTime stopRequestedAt = m_context.now();
-    MonotonicTime stopDeadline = stopRequestedAt + m_context.settings.stopGrace - stopMargin;
-    co_await m_lease.release();
-    MonotonicTime callersLeftAt
-        = stopRequestedAt + m_context.settings.entriesLifetime * staleAnswerLifetimes + stopMargin;
-    while (m_context.now() < std::min(callersLeftAt, stopDeadline))
+    const StopPlan plan = *m_context.stopPlan;
+    while (m_context.now() < plan.callersLeftAt()) {
+        m_context.hasOtherNodes = !m_peers.callerAddresses().empty();
         co_await sleepFor(maintenancePeriod);
+    }
     m_callers.stop();
-    while (m_context.now() < stopDeadline) {
-        for (const auto& weakSession : m_sessions) {
-            if (auto session = weakSession.lock())
-                session->closeIfIdle();
-        }
-        if (m_context.calls.empty())
-            break;
+    while (closeIdleSessions() > 0 && m_context.now() < plan.cutAt())
         co_await sleepFor(maintenancePeriod);
-    }
     std::vector<std::shared_ptr<ActiveCall>> remaining(m_context.calls.begin(), m_context.calls.end());
     for (const auto& call : remaining)
         call->cancel(CancelReason::NodeShutdown);
-    co_await sleepFor(maintenancePeriod);
+    while (closeIdleSessions() > 0 && m_context.now() < plan.exitAt())
+        co_await sleepFor(lastAnswersPoll);
     for (const auto& call : m_context.calls)
         m_context.log.write("request", { { "id", call->id }, { "host", call->hostId }, { "outcome", "cut_by_exit" } });
     m_context.log.write(
@@ -316,4 +307,16 @@
     m_context.io.stop();
 }
 
+// Returns the number of sessions that still read, forward or answer a request.
+size_t Gateway::closeIdleSessions()
+{
+    size_t busy = 0;
+    for (const auto& weakSession : m_sessions) {
+        auto session = weakSession.lock();
+        if (session && !session->closeIfIdle())
+            ++busy;
+    }
+    return busy;
+}
+
 } // namespace Kumquatpick
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,8 +22,8 @@
 
     // Fails if an address cannot be bound.
     Settled<std::monostate> start();
-    // Stops accepting work and ends the event loop once all calls are complete, at the latest shortly before the grace
-    // period ends.
+    // Takes only calls that it can finish, and ends the event loop once all calls are complete, at the latest shortly
+    // before the grace period ends.
     void stop();
 
 private:
@@ -63,6 +63,7 @@
     void cancelStalledStreams();
     void updateDemand();
     asio::awaitable<void> stopGracefully();
+    size_t closeIdleSessions();
 
     GatewayContext m_context;
     StoreHealth m_health;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -32,7 +32,7 @@
 
 NodeExchange::OwnReport Gateway::ownReport() const
 {
-    return { isReady(), m_context.isStopping, m_context.routes ? m_context.routes->version() : 0, m_lease.term(),
+    return { isReady(), m_context.isStopping(), m_context.routes ? m_context.routes->version() : 0, m_lease.term(),
         m_context.anyCallSeen };
 }
 
@@ -55,7 +55,7 @@
 // A stopping node takes no share of the limits, because the others no longer count it.
 void Gateway::divideRateLimits()
 {
-    std::string self = m_context.isStopping ? std::string() : m_context.settings.peers.toString();
+    std::string self = m_context.isStopping() ? std::string() : m_context.settings.peers.toString();
     m_context.balancer.limits().assignShares(m_peers.nodesInZone({}), self, m_context.now());
 }
 
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -116,7 +116,7 @@
     BootTime begun = bootNow();
     for (;;) {
         co_await sleepFor(step);
-        if (m_context.isStopping || m_isReleased)
+        if (m_context.isStopping() || m_isReleased)
             continue;
         if (isHandoverDue() && m_health.isServing()) {
             m_context.log.write("lease_handed_over", { { "term", m_term } });
