Let replicas that close finish their requests

What callers saw: streams broken around a server that leaves and around a configuration that moves hosts to another model, all of one replica at the same moment on all nodes; a second such replica within one call broke the answer off.

Cause: our own orders. The controller closed a replica with a leaving member in the mode that ends all running requests, and ordered the head of a replica that gives way to leave 0.6 s after it was closed. Ruled out: that the leaving server itself had ended; its list entry stayed for 3 s more.

--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -28,9 +28,6 @@
     // and two reads of the list.
     constexpr Milliseconds earlierJoinsTimeout { 2200 };
 
-    // Replicas that are replaced may finish requests for this long; longer streams continue at another replica.
-    constexpr Milliseconds retireGracePeriod { 600 };
-
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
     // For a member that the list dropped: it lost its connection to the store, or it is about to end.
@@ -228,7 +225,8 @@
         tracked.headId = replica.head->id;
         tracked.headIsLeaving = tracked.headIsLeaving || replica.head->draining;
     }
-    bool isRetired = tracked.retiringSince && input.now - *tracked.retiringSince > retireGracePeriod;
+    // A closed head returns to ready after its last request and is dissolved then.
+    bool isRetired = tracked.retiringSince && input.now - *tracked.retiringSince > maxDrainTime;
     bool isServing = replica.head && isTakingRequests(replica.head->status.membership->state);
     if (tracked.isDissolving || !isServing || isRetired)
         return dissolve(input, replica, orders);
