Leave a silent server only for one that can go on with the call

What callers saw: connections closed 1.5 s after a replica fell silent, and answers 502 while the only server was still at work.

Cause: the node closed every send to a replica whose streams had stopped, and only then looked for another one. Without a second run allowed by the route, a retry in the allowance or a server with room there was none.

Now mayLeaveServer decides, from what is known without any I/O, and the place at the other server is reserved before the silent one is left; what has nowhere to go waits until its deadline, and a call that left waits as long for a server. The silent replica gets no new calls meanwhile, and the nodes are told of it again each second. The same holds for a plain server that is slow. server_leaves_total counts the verdicts, replica_stalled says how many calls moved and how many wait.

--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "base/clock.h"
 #include "gateway/http.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace Kumquatpick {
 
@@ -24,6 +28,13 @@
     return names[static_cast<size_t>(reason)];
 }
 
+// Why a send was given up although its server had neither answered nor closed the connection.
+enum class LeaveReason : uint8_t {
+    None,
+    Stalled, // The streams of its replica have stopped.
+    Slow, // The answer takes longer than is usual for its route.
+};
+
 // The cancellation state of a call in progress, used by the watch on the caller's connection, the deadline timer and
 // the detection of stalled replicas. Cancelling closes the connection to the backend server, which then stops its work
 // on the call.
@@ -41,7 +52,10 @@
     std::string hostId; // Backend server that currently handles the call; empty if none.
     beast::tcp_stream* backend = nullptr;
     CancelReason cancelReason = CancelReason::None;
-    bool isStalled = false; // The current send was cancelled because its replica is stalled.
+    LeaveReason left = LeaveReason::None; // Of the current send.
+    std::optional<MonotonicTime> slowAt; // When the current send counts as slow; nothing if it never does.
+    // Reserves a place at another server for the call; false if there is none or the call may not run there.
+    std::function<bool()> reserveOtherServer;
     bool responseStarted = false; // The response head was sent to the caller.
     bool isDone = false;
 
@@ -58,12 +72,15 @@
         }
     }
 
-    void cancelStalledSend()
+    // Gives the current send up if the call can go on at another server. Returns whether it did.
+    bool leaveServer(LeaveReason reason)
     {
-        if (isDone || !backend)
-            return;
-        isStalled = true;
+        bool isSending = !isDone && backend && cancelReason == CancelReason::None && left == LeaveReason::None;
+        if (!isSending || !reserveOtherServer())
+            return false;
+        left = reason;
         closeBackend();
+        return true;
     }
 
 private:
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callforwarder.h"
 
 #include "fleet/callpriority.h"
+#include "fleet/serverleave.h"
 #include "gateway/asio.h"
 #include "suspicion/suspicion.h"
 
@@ -8,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace Kumquatpick {
 
@@ -42,6 +44,7 @@
     , m_active(std::make_shared<ActiveCall>(m_call.id, caller.socket(), caller.get_executor()))
     , m_eventStream(m_call.lastEventId)
 {
+    m_active->reserveOtherServer = [this] { return reserveOtherServer(); };
     m_context.calls.insert(m_active);
 }
 
@@ -83,6 +86,7 @@
             break;
         outcome = co_await sendOnce();
     } while (outcome != SendOutcome::Answered && maySendAgain(outcome, m_context.now()));
+    releaseReservation();
 
     if (outcome == SendOutcome::Answered) {
         m_context.answerTimes.record(m_route->name, m_context.now() - m_arrived);
@@ -154,26 +158,53 @@
     return std::max(Milliseconds(1), std::chrono::floor<Milliseconds>(m_deadline - m_context.now()));
 }
 
-bool CallForwarder::chooseHost(MonotonicTime now)
+// Returns an empty id if no server has room.
+std::string CallForwarder::chooseHost(MonotonicTime now, std::span<const std::string> excluded, bool hasStarted)
 {
     auto queue = static_cast<uint32_t>(m_context.settings.queuePerReplica);
-    if (m_headForwarded || m_possibleRuns > 0)
+    if (hasStarted)
         queue += resumeQueueExtra;
     else if (m_isCallerRetry)
         queue += retryQueueExtra;
-    auto choose = [&](std::span<const std::string> excluded) {
-        return m_context.balancer.choose({ m_service, m_call.model, excluded, queue }, now, m_context.random);
+    auto choose = [&](std::span<const std::string> hosts) {
+        return m_context.balancer.choose({ m_service, m_call.model, hosts, queue }, now, m_context.random);
     };
     // Two suspects on one server would share its death.
-    std::vector<std::string> excluded = m_context.suspicion.replicasToAvoid(m_fingerprint, now);
-    if (!excluded.empty()) {
-        excluded.insert(excluded.end(), m_triedHostIds.begin(), m_triedHostIds.end());
-        m_hostId = choose(excluded);
-        if (!m_hostId.empty())
-            return true;
+    std::vector<std::string> suspects = m_context.suspicion.replicasToAvoid(m_fingerprint, now);
+    if (!suspects.empty()) {
+        suspects.insert(suspects.end(), excluded.begin(), excluded.end());
+        std::string hostId = choose(suspects);
+        if (!hostId.empty())
+            return hostId;
     }
-    m_hostId = choose(m_triedHostIds);
-    return !m_hostId.empty();
+    return choose(excluded);
+}
+
+bool CallForwarder::reserveOtherServer()
+{
+    MonotonicTime now = m_context.now();
+    std::vector<std::string> excluded = m_triedHostIds;
+    excluded.push_back(m_hostId);
+    std::string other = chooseHost(now, excluded, true);
+    bool mayResume = !m_headForwarded || !m_context.disabledMechanisms.contains(Mechanism::Resume);
+    bool isSuspect = m_context.suspicion.verdict(m_fingerprint, now) != SuspicionVerdict::Clear;
+    ServerLeave verdict
+        = mayLeaveServer({ mayRepeat() && mayResume, isSuspect, m_possibleRuns + 1, m_route->maxAttempts, m_sends,
+            maxSends, m_context.retries.remainingRetries(m_service, now) >= 1, !other.empty() });
+    m_context.metrics.count(fmt::format("server_leaves_total{{verdict=\"{}\"}}", name(verdict)));
+    if (verdict != ServerLeave::Allowed)
+        return false;
+    m_context.retries.takeRetry(m_service, now);
+    m_context.balancer.sendStarted(other, now);
+    m_reservedHostId = std::move(other);
+    m_hasLeftServer = true;
+    return true;
+}
+
+void CallForwarder::releaseReservation()
+{
+    if (!m_reservedHostId.empty())
+        m_context.balancer.sendEnded(std::exchange(m_reservedHostId, {}), SendResult::CallerGone, m_context.now());
 }
 
 bool CallForwarder::isHeldAsSuspect()
@@ -191,22 +222,32 @@
 }
 
 // A new call is refused at once if no replica has a free slot, because it would miss its deadline after waiting. A
-// stream that has started may wait for a short time.
+// stream that has started may wait for a short time, and until its deadline if its server might have gone on with it.
 MonotonicTime CallForwarder::hostWaitDeadline() const
 {
+    if (m_hasLeftServer)
+        return m_deadline;
     bool isHeld = m_possibleRuns > 0 || m_context.disabledMechanisms.contains(Mechanism::EarlyRefusal);
     return isHeld ? m_context.now() + maxResumeWait : m_arrived;
 }
 
 asio::awaitable<bool> CallForwarder::awaitHost()
 {
+    if (!m_reservedHostId.empty()) {
+        m_hostId = m_reservedHostId;
+        co_return true;
+    }
     MonotonicTime until = hostWaitDeadline();
+    bool hasStarted = m_headForwarded || m_possibleRuns > 0;
     while (m_active->cancelReason == CancelReason::None) {
         MonotonicTime now = m_context.now();
         if (isHeldAsSuspect())
             co_return false;
-        if (chooseHost(now))
+        m_hostId = chooseHost(now, m_triedHostIds, hasStarted);
+        if (!m_hostId.empty() && mayRetry(now))
             co_return true;
+        if (!m_hostId.empty() && !m_hasLeftServer)
+            co_return false;
         if (now >= until) {
             m_lastError = m_lastError.empty() ? "no replica has a free slot" : m_lastError;
             if (m_servesModels && m_possibleRuns == 0)
@@ -226,13 +267,24 @@
         return false;
     if (m_headForwarded && m_context.disabledMechanisms.contains(Mechanism::Resume))
         return false;
-    if (m_possibleRuns >= m_route->maxAttempts || m_sends >= maxSends)
+    bool isSendLeft = m_sends < maxSends || m_hasLeftServer;
+    if (m_possibleRuns >= m_route->maxAttempts || !isSendLeft)
         return false;
     if (isHeldAsSuspect())
         return false;
     m_triedHostIds.push_back(m_hostId);
-    // A send that got no connection does not count as a retry.
-    return !m_hadConnection || m_context.retries.takeRetry(m_service, now);
+    // A send that got no connection does not count as a retry; the retry of a reserved place was taken with it.
+    m_needsRetry = m_hadConnection && m_reservedHostId.empty();
+    return true;
+}
+
+// Whether the next send may be made now, as a retry if it is one.
+bool CallForwarder::mayRetry(MonotonicTime now)
+{
+    if (m_needsRetry && !m_context.retries.takeRetry(m_service, now))
+        return false;
+    m_needsRetry = false;
+    return true;
 }
 
 asio::awaitable<void> CallForwarder::respond(HttpResponse response)
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -49,9 +50,12 @@
     bool isCallerRetry();
     int priority() const;
     MonotonicTime hostWaitDeadline() const;
-    bool chooseHost(MonotonicTime now);
+    std::string chooseHost(MonotonicTime now, std::span<const std::string> excluded, bool hasStarted);
+    bool reserveOtherServer();
+    void releaseReservation();
     asio::awaitable<bool> awaitHost();
     bool maySendAgain(SendOutcome, MonotonicTime now);
+    bool mayRetry(MonotonicTime now);
     // Whether the request must not run now because servers ended while running it.
     bool isHeldAsSuspect();
     Milliseconds timeLeft() const;
@@ -104,6 +108,10 @@
     std::string m_hostId; // Host of the current send.
     MonotonicTime m_sentAt {}; // Time of the current send.
     std::vector<std::string> m_triedHostIds;
+    std::string m_reservedHostId; // Counted as a send in flight there; empty if none is reserved.
+    bool m_hasLeftServer
+        = false; // A send was given up for another server, so the call waits for one until its deadline.
+    bool m_needsRetry = false; // The next send counts as a retry.
     uint32_t m_sends = 0;
     uint32_t m_possibleRuns = 0; // Sends that may have run the call.
     bool m_hadConnection = false; // The latest send got a connection.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -36,7 +36,7 @@
     // An idempotent call to a service without models is sent to another server after this multiple of its target
     // latency.
     constexpr int slowServerLatencyFactor = 3;
-    constexpr Milliseconds minSendTimeout { 200 };
+    constexpr Milliseconds minSlowTime { 200 };
 
     bool isClosedByPeer(const beast::error_code& error)
     {
@@ -61,13 +61,16 @@
         m_context.retries.recordFirstSend(m_service, begun);
     std::string hostId = m_hostId;
     const Host* host = m_context.hosts.find(hostId);
-    if (!host)
+    if (!host) {
+        releaseReservation();
         co_return SendOutcome::NotRun;
+    }
     Address address = host->address;
     m_inFlightBefore = m_context.balancer.inFlightAt(hostId);
-    m_context.balancer.sendStarted(hostId, begun);
+    if (std::exchange(m_reservedHostId, {}).empty())
+        m_context.balancer.sendStarted(hostId, begun);
     m_active->hostId = hostId;
-    m_active->isStalled = false;
+    m_active->left = LeaveReason::None;
     m_sendEnd = SendResult::Failed;
     m_mayReuseConnection = false;
     m_isClosedByServer = false;
@@ -94,12 +97,13 @@
             m_context.pool.release(std::move(connection));
     }
     m_active->hostId.clear();
+    m_active->slowAt.reset();
     if (m_eventStream.events() > eventsBefore)
         m_context.balancer.adjustActiveStreams(hostId, -1);
     m_eventStream.dropPartialEvent();
     if (m_active->cancelReason != CancelReason::None)
         m_sendEnd = SendResult::CallerGone;
-    else if (m_active->isStalled)
+    else if (m_active->left == LeaveReason::Stalled)
         m_sendEnd = SendResult::Stalled;
     m_context.balancer.sendEnded(hostId, m_sendEnd, m_context.now());
     if (outcome != SendOutcome::NotRun)
@@ -107,7 +111,8 @@
     if (outcome != SendOutcome::Answered) {
         m_context.log.writeRoutine("send_ended",
             { { "id", m_call.id }, { "fingerprint", fingerprintName(m_fingerprint) }, { "host", hostId },
-                { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] }, { "stalled", m_active->isStalled },
+                { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] },
+                { "stalled", m_active->left == LeaveReason::Stalled }, { "slow", m_active->left == LeaveReason::Slow },
                 { "cancelled", name(m_active->cancelReason) }, { "problem", m_lastError },
                 { "events", m_eventStream.events() }, { "ms", 1000 * toSeconds(m_context.now() - begun) } });
     }
@@ -117,7 +122,8 @@
 void CallForwarder::recordBackendError(std::string_view step, const beast::error_code& error)
 {
     m_lastError = fmt::format("{} failed: {}", step, error.message());
-    m_isClosedByServer = isClosedByPeer(error) && m_active->cancelReason == CancelReason::None && !m_active->isStalled;
+    m_isClosedByServer
+        = isClosedByPeer(error) && m_active->cancelReason == CancelReason::None && m_active->left == LeaveReason::None;
 }
 
 // A server that closes a connection within an answer may have ended, or may have dropped this answer only. One that
@@ -174,12 +180,11 @@
     send.priority = priority();
     HttpRequest request = m_context.platform.forward(m_call, send);
 
-    // An idempotent call without streaming does not wait for one slow server until its deadline.
-    bool leavesSlowServer = m_route->idempotent && !m_route->streaming && m_possibleRuns + 1 < m_route->maxAttempts;
-    if (leavesSlowServer)
-        connection.stream.expires_after(std::max(minSendTimeout, m_route->targetLatency * slowServerLatencyFactor));
-    else
-        connection.stream.expires_never();
+    // An idempotent call without streaming does not wait for one slow server until its deadline if another one has
+    // room.
+    if (m_route->idempotent && !m_route->streaming)
+        m_active->slowAt = m_sentAt + std::max(minSlowTime, m_route->targetLatency * slowServerLatencyFactor);
+    connection.stream.expires_never();
     auto [error, written] = co_await http::async_write(connection.stream, request, asTuple);
     if (error) {
         recordBackendError("sending the request", error);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -189,7 +189,7 @@
             if (tick % ticksPerReportExpiry == 0)
                 m_context.hosts.expireReports(m_context.now());
             refreshPeersInFlight();
-            cancelStalledStreams();
+            moveCallsOfSilentServers();
             if (m_context.suspicion.hasUrgentChanges())
                 m_peers.exchangeNow();
             updateDemand();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,7 +60,8 @@
     std::optional<MonotonicTime> configConfirmedAt() const;
     MonotonicTime::duration configAge() const;
     bool isConfigCurrent() const;
-    void cancelStalledStreams();
+    void moveCallsOfSilentServers();
+    void moveCallsOfStalledReplica(const std::string& hostId);
     void updateDemand();
     asio::awaitable<void> stopGracefully();
     size_t closeIdleSessions();
@@ -85,6 +86,7 @@
     std::map<std::string, Host, std::less<>> m_hostsWithoutService;
     // By name: when to remove hosts whose entries expired around a store outage or were overwritten by another writer.
     std::map<std::string, MonotonicTime, std::less<>> m_pendingRemovals;
+    std::map<std::string, MonotonicTime, std::less<>> m_stalledReplicas; // By head: when the nodes were last told.
     MonotonicTime::duration m_longestPause {}; // Since the process started.
     uint64_t m_targetsHostVersion = UINT64_MAX; // Versions from which the targets were computed.
     const RouteTable* m_targetsRoutes = nullptr;
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -16,6 +16,10 @@
     // time.
     constexpr int pauseRatio = 9;
     constexpr Milliseconds maxTargetsPause { 300 };
+    // For which a stalled replica gets no new calls.
+    constexpr Milliseconds stalledAvoidance { 1500 };
+    // While a replica stays stalled, the other nodes are told again before they use it again.
+    constexpr Milliseconds stallNoticePeriod { 1000 };
 
 }
 
@@ -52,29 +56,44 @@
     m_nextTargets = now + std::min<MonotonicTime::duration>((now - begunAt) * pauseRatio, maxTargetsPause);
 }
 
-// All streams of a replica that lost a member stall at once; they are moved to other replicas instead of waiting for an
-// error.
-void Gateway::cancelStalledStreams()
+// All streams of a replica that lost a member stall at once. Those that can go on elsewhere move instead of waiting for
+// an error; the others wait, because a silent replica may go on.
+void Gateway::moveCallsOfSilentServers()
 {
     MonotonicTime now = m_context.now();
-    if (m_context.disabledMechanisms.contains(Mechanism::StalledStreamClose))
-        return;
-    for (const std::string& id : m_context.balancer.stalledTargets(now)) {
-        m_peers.publishStall(id);
-        size_t cut = 0;
-        std::vector<std::shared_ptr<ActiveCall>> calls(m_context.calls.begin(), m_context.calls.end());
-        for (const auto& call : calls) {
-            if (call->hostId != id || !call->backend)
-                continue;
-            call->cancelStalledSend();
-            ++cut;
-        }
-        m_context.log.write("replica_stalled", { { "host", id }, { "calls", cut } });
-        m_context.metrics.count("replicas_standing_still_total");
-        m_peers.exchangeNow();
+    std::vector<std::string> stalled;
+    if (!m_context.disabledMechanisms.contains(Mechanism::StalledStreamClose))
+        stalled = m_context.balancer.stalledTargets(now);
+    std::erase_if(m_stalledReplicas, [&](const auto& entry) { return !std::ranges::count(stalled, entry.first); });
+    for (const std::string& hostId : stalled)
+        moveCallsOfStalledReplica(hostId);
+    for (const auto& call : m_context.calls) {
+        if (call->slowAt && *call->slowAt <= now)
+            call->leaveServer(LeaveReason::Slow);
     }
 }
 
+void Gateway::moveCallsOfStalledReplica(const std::string& hostId)
+{
+    MonotonicTime now = m_context.now();
+    size_t moved = 0;
+    size_t waiting = 0;
+    for (const auto& call : m_context.calls) {
+        if (call->hostId == hostId && call->backend)
+            ++(call->leaveServer(LeaveReason::Stalled) ? moved : waiting);
+    }
+    m_context.balancer.suspect(hostId, now + stalledAvoidance);
+    auto [known, isNew] = m_stalledReplicas.try_emplace(hostId, now);
+    if (isNew || moved > 0)
+        m_context.log.write("replica_stalled", { { "host", hostId }, { "calls", moved }, { "waiting", waiting } });
+    if (!isNew && now - known->second < stallNoticePeriod)
+        return;
+    known->second = now;
+    m_context.metrics.count("replicas_standing_still_total");
+    m_peers.publishStall(hostId);
+    m_peers.exchangeNow();
+}
+
 void Gateway::updateDemand()
 {
     double perSecond = 1000.0 / static_cast<double>(maintenancePeriod.count());
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -86,13 +86,7 @@
             return total;
         }
 
-        static std::string completeStream()
-        {
-            std::string text;
-            for (int id = 1; id <= FakeHost::eventsPerStream; ++id)
-                text += "id: " + std::to_string(id) + "\ndata: piece\n\n";
-            return text;
-        }
+        static std::string completeStream() { return FakeHost::completeStream(); }
 
         FakeStore m_store;
         std::vector<std::unique_ptr<FakeHost>> m_hosts;
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -406,6 +406,10 @@
         return;
     }
     ++runs;
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_runsById[request.get_header_value("Attempt-Id")];
+    }
     response.set_header("Response-Seal", "seal-" + m_options.id);
     if (request.body.starts_with(crashingPrefix))
         return runCrashingRequest(request, response);
@@ -427,6 +431,20 @@
     response.set_header("Seen-Key", request.get_header_value("Key"));
 }
 
+std::map<std::string, int> FakeHost::runsById()
+{
+    std::lock_guard lock(m_mutex);
+    return m_runsById;
+}
+
+std::string FakeHost::completeStream()
+{
+    std::string text;
+    for (int id = 1; id <= eventsPerStream; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: piece\n\n";
+    return text;
+}
+
 std::vector<FakeHost::CrashingArrival> FakeHost::crashingArrivals()
 {
     std::lock_guard lock(m_mutex);
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -140,6 +140,10 @@
         std::string body;
     };
     std::vector<CrashingArrival> crashingArrivals();
+    // Runs of requests by attempt id.
+    std::map<std::string, int> runsById();
+    // The whole answer to a streaming request.
+    static std::string completeStream();
     std::atomic<bool> announcesDraining { false }; // Announced in answers, but not in the store.
     std::atomic<int> requestedBackoff { 0 }; // Seconds, sent as Retry-After in refusals; 0: none.
     std::atomic<bool> truncatesAnswers { false }; // Closes the connection in the middle of an answer.
@@ -191,6 +195,7 @@
     std::vector<Arrival> m_arrivals;
     std::vector<CrashingArrival> m_crashingArrivals;
     std::map<std::string, RunRecord> m_streamRuns;
+    std::map<std::string, int> m_runsById;
 };
 
 } // namespace Kumquatpick
