Do not open a replica again that this controller closed

Cause: a closed head returns to ready after its last request. A controller that had not formed the replica itself then took it for one that an earlier controller was forming, and opened it; the next plan closed it again. A replica that was closed is now dissolved as soon as its head is ready.

ReplicaPlanner.RetiringReplicaOfAnEarlierControllerIsNotOpenedAgain failed before.

--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -214,6 +214,10 @@
     TrackedReplica& tracked = entry->second;
     if (isNew)
         tracked.firstSeenAt = input.now;
+    // A closed head returns to ready after its last request, and then looks like that of a replica being formed.
+    bool hasClosed
+        = tracked.closeSentAt && replica.head && replica.head->status.membership->state == MemberState::Ready;
+    tracked.isDissolving = tracked.isDissolving || hasClosed;
     if (!tracked.isDissolving && adopt(input, replica))
         return;
     if (mayStillForm(input, replica, tracked)) {
@@ -225,7 +229,6 @@
         tracked.headId = replica.head->id;
         tracked.headIsLeaving = tracked.headIsLeaving || replica.head->draining;
     }
-    // A closed head returns to ready after its last request and is dissolved then.
     bool isRetired = tracked.retiringSince && input.now - *tracked.retiringSince > maxDrainTime;
     bool isServing = replica.head && isTakingRequests(replica.head->status.membership->state);
     if (tracked.isDissolving || !isServing || isRetired)
--- a/tests/fleet/replicaplanner_test.cpp
+++ b/tests/fleet/replicaplanner_test.cpp
@@ -412,6 +412,31 @@
     EXPECT_GE(std::ranges::count(world.openReplicas(), std::string("large"), &ReplicaView::model), 2);
 }
 
+// A controller took replicas that it had closed for replicas that an earlier one was forming, and opened them again.
+TEST(ReplicaPlanner, RetiringReplicaOfAnEarlierControllerIsNotOpenedAgain)
+{
+    PlannerWorld world({ makeModel("large", 4), makeModel("small", 2) });
+    world.wantedReplicas = { { "large", 1 }, { "small", 8 } };
+    for (int i = 0; i < 10; ++i)
+        world.addHost("host-" + std::to_string(i), "d1");
+    world.run(Milliseconds(2000));
+    world.isBeforeTraffic = false;
+    world.planner = ReplicaPlanner(8);
+    world.run(Milliseconds(3000));
+    world.closingDuration = Milliseconds(1500);
+    world.wantedReplicas = { { "large", 6 }, { "small", 1 } };
+    world.orders.clear();
+    world.run(Milliseconds(6000));
+    std::map<std::string, int> closes;
+    for (const HostOrder& order : world.orders)
+        closes[order.replica] += order.kind == OrderKind::Close ? 1 : 0;
+    EXPECT_GE(std::ranges::count(world.openReplicas(), std::string("large"), &ReplicaView::model), 2);
+    for (const HostOrder& order : world.orders) {
+        bool reopens = order.kind == OrderKind::Open && closes[order.replica] > 0;
+        EXPECT_FALSE(reopens) << order.replica;
+    }
+}
+
 // Three idle hosts hold the large model, whose replicas take four, and no host is added. This state arises when
 // replicas lose one member after another. Two of the hosts load the small model and serve again.
 TEST(ReplicaPlanner, StrandedIdleHostsLoadAnotherModel)
