Order a head to leave only once its requests have ended

A head without an entry was ordered to leave at once although it serves for seconds more; a member that had stopped listening before its replica's last request ended was taken for lost. Such a head is closed first and leaves once no node has a request there, at the latest after 10.5 s; such a member makes its replica close. A replica that has lost a member, or whose streams have stopped, is dissolved at once as before.

Replicas that give way to another model hold their hosts until their requests end, so nodes move the calls that can go on elsewhere (LeaveReason::Retiring), and the controller polls the closed head.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -202,6 +202,7 @@
     case SendResult::NotServing:
         target.avoidUntil = std::max(target.avoidUntil, now + stalledAvoidance);
         break;
+    case SendResult::Left:
     case SendResult::CallerGone:
         break;
     }
@@ -252,6 +253,14 @@
     return found == m_targets.end() ? 0 : found->second.localInFlight + found->second.remoteInFlight;
 }
 
+uint32_t Balancer::inFlightAtHost(std::string_view hostId) const
+{
+    auto target = m_targets.find(hostId);
+    auto remote = m_remoteInFlight.find(hostId);
+    return (target == m_targets.end() ? 0 : target->second.localInFlight)
+        + (remote == m_remoteInFlight.end() ? 0 : remote->second);
+}
+
 uint32_t Balancer::inFlightOf(std::string_view service, std::string_view model) const
 {
     uint32_t total = 0;
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -33,6 +33,7 @@
     CallerGone, // The caller disconnected or its deadline passed.
     Failed, // The connection broke, or the answer was unusable.
     Stalled, // No data arrived although some was due.
+    Left, // The request went on at another target; this one is healthy.
     Unreachable, // The target accepts no connections.
 };
 
@@ -87,6 +88,8 @@
     std::map<std::string, uint32_t, std::less<>> inFlight() const;
     // Requests of all nodes in flight at one target.
     uint32_t inFlightAt(std::string_view hostId) const;
+    // The same, also for a host that is no target any more.
+    uint32_t inFlightAtHost(std::string_view hostId) const;
     // Requests of all nodes in flight for one model of a service.
     uint32_t inFlightOf(std::string_view service, std::string_view model) const;
     // Of the model or plain service with the largest load: the share of its slots that are taken, by all nodes.
--- a/src/fleet/plannerinput.h
+++ b/src/fleet/plannerinput.h
@@ -35,6 +35,8 @@
     std::function<bool(std::string_view hostId)> isStalled;
     bool isBeforeTraffic = false; // Before the first request.
     DisabledMechanisms disabledMechanisms {};
+    // Requests that all nodes have in flight at a host; as old as the other nodes' reports.
+    std::function<uint32_t(std::string_view hostId)> inFlight = [](std::string_view) { return 0u; };
 
     // Whether the host is listed, not draining and not known to be unreachable.
     bool isUsable(std::string_view hostId) const;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -20,6 +20,8 @@
     constexpr Milliseconds maxDrainTime { 10'500 };
     constexpr Milliseconds unlistedDrainTime { 300 };
     constexpr Milliseconds leaveNoticeTimeout { 600 };
+    // Until all nodes have stopped sending to a closed head and have told of their requests there.
+    constexpr Milliseconds closeNewsDelay { 1000 };
     // Concurrent loads share the weight store's bandwidth, so one may take several times its nominal time.
     constexpr int maxLoadFactor = 4;
     constexpr Milliseconds formationMargin { 10'000 };
@@ -234,6 +236,8 @@
     if (tracked.isDissolving || !isServing || isRetired)
         return dissolve(input, replica, orders);
 
+    if (tracked.closedSince)
+        m_hostsToPoll.insert(tracked.headId); // Its hosts are free as soon as its last request has ended.
     const ModelSpec* model = input.service.model(replica.model);
     bool isIncomplete = model && !replica.isComplete(model->hostsPerReplica);
     bool isSuspected = isIncomplete || input.isStalled(replica.head->id);
@@ -247,16 +251,42 @@
         hasLostMember = hasLostMember || isLost || (isSuspected && isUnreachable(contact));
         isLeaving = isLeaving || member->draining;
     }
+    // A member that left without notice stops listening first and stays while the head has requests.
     for (const Host* member : replica.recentlyUnlisted) {
         m_hostsToPoll.insert(member->id);
-        hasLostMember = hasLostMember || !mayServeUnlisted(input.contact(member->id));
+        HostContact contact = input.contact(member->id);
+        bool mayStayForRequests = contact == HostContact::Refused && !isSuspected;
+        hasLostMember = hasLostMember || !(mayServeUnlisted(contact) || mayStayForRequests);
+        isLeaving = isLeaving || mayStayForRequests;
     }
-    if (hasLostMember)
+    if (hasLostMember) {
+        tracked.hasLostMember = true;
         return dissolve(input, replica, orders);
+    }
     bool mayClose = isLeaving && replica.head->status.membership->state == MemberState::Open
         && input.contact(replica.head->id) != HostContact::Refused;
-    if (mayClose && recordSendIfDue(tracked.closeSentAt, input.now))
-        orders.push_back(membershipOrder(OrderKind::Close, replica.head->id, replica.name, replica.epoch));
+    if (mayClose)
+        orderClose(input, replica, tracked, orders);
+}
+
+void ReplicaPlanner::orderClose(
+    const PlannerInput& input, const ReplicaView& replica, TrackedReplica& tracked, std::vector<HostOrder>& orders)
+{
+    tracked.closedSince = tracked.closedSince.value_or(input.now);
+    if (recordSendIfDue(tracked.closeSentAt, input.now))
+        orders.push_back(membershipOrder(OrderKind::Close, tracked.headId, replica.name, replica.epoch));
+}
+
+// Whether the head may still be running requests that an order to leave would end.
+bool ReplicaPlanner::isFinishing(
+    const PlannerInput& input, const ReplicaView& replica, const TrackedReplica& tracked) const
+{
+    bool mayRun = !replica.head || isTakingRequests(replica.head->status.membership->state);
+    if (!mayRun || tracked.hasLostMember || input.isStalled(tracked.headId))
+        return false;
+    Milliseconds closedFor
+        = tracked.closedSince ? std::chrono::floor<Milliseconds>(input.now - *tracked.closedSince) : Milliseconds(0);
+    return closedFor < closeNewsDelay || (input.inFlight(tracked.headId) > 0 && closedFor < maxDrainTime);
 }
 
 bool ReplicaPlanner::recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const
@@ -298,7 +328,8 @@
     }
 }
 
-// Orders a head to leave if it is listed or still answers without being listed, unless it refuses connections.
+// Orders a head to leave if it is listed or still answers without being listed, unless it refuses connections. A head
+// that may run requests is closed first and finishes them.
 void ReplicaPlanner::orderHeadLeave(
     const PlannerInput& input, const ReplicaView& replica, TrackedReplica& tracked, std::vector<HostOrder>& orders)
 {
@@ -306,6 +337,8 @@
     bool takesOrders = replica.head ? contact != HostContact::Refused : contact == HostContact::Reachable;
     if (tracked.headId.empty() || !takesOrders || tracked.headHasLeft)
         return;
+    if (isFinishing(input, replica, tracked))
+        return orderClose(input, replica, tracked, orders);
     if (recordSendIfDue(tracked.leaveSentAt, input.now))
         orders.push_back(membershipOrder(OrderKind::Leave, tracked.headId, replica.name, replica.epoch));
 }
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -85,8 +85,10 @@
         std::optional<MonotonicTime> retiringSince; // Set once its hosts are chosen to serve another model.
         std::string headId;
         std::optional<MonotonicTime> closeSentAt;
+        std::optional<MonotonicTime> closedSince; // When the first order to close was sent.
         std::optional<MonotonicTime> leaveSentAt;
         std::optional<MonotonicTime> headRefusedSince; // Since when the head's address refuses connections.
+        bool hasLostMember = false; // Its requests can't go on.
         bool headIsLeaving = false; // It announced this, or it still answers but is not listed.
         bool headHasLeft = false; // It reported or confirmed this, or its process has ended.
         std::map<std::string, std::optional<MonotonicTime>, std::less<>> memberLeaveSentAt;
@@ -130,6 +132,8 @@
     HeadStatus updateHeadStatus(const PlannerInput&, const ReplicaView&, TrackedReplica&) const;
     bool hasHeadEnded(const PlannerInput&, TrackedReplica&, const Host* head) const;
     void orderHeadLeave(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
+    bool isFinishing(const PlannerInput&, const ReplicaView&, const TrackedReplica&) const;
+    void orderClose(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
     void orderMembersLeave(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
     bool recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -33,8 +33,16 @@
     None,
     Stalled, // The streams of its replica have stopped.
     Slow, // The answer takes longer than is usual for its route.
+    Retiring, // Its replica gives way to another model as soon as its requests have ended.
 };
 
+// For logs.
+constexpr const char* name(LeaveReason reason)
+{
+    constexpr const char* names[] = { "none", "stalled", "slow", "retiring" };
+    return names[static_cast<size_t>(reason)];
+}
+
 // The cancellation state of a call in progress, used by the watch on the caller's connection, the deadline timer and
 // the detection of stalled replicas. Cancelling closes the connection to the backend server, which then stops its work
 // on the call.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -105,6 +105,8 @@
         m_sendEnd = SendResult::CallerGone;
     else if (m_active->left == LeaveReason::Stalled)
         m_sendEnd = SendResult::Stalled;
+    else if (m_active->left == LeaveReason::Retiring)
+        m_sendEnd = SendResult::Left;
     m_context.balancer.sendEnded(hostId, m_sendEnd, m_context.now());
     if (outcome != SendOutcome::NotRun)
         ++m_possibleRuns;
@@ -112,7 +114,7 @@
         m_context.log.writeRoutine("send_ended",
             { { "id", m_call.id }, { "fingerprint", fingerprintName(m_fingerprint) }, { "host", hostId },
                 { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] },
-                { "stalled", m_active->left == LeaveReason::Stalled }, { "slow", m_active->left == LeaveReason::Slow },
+                { "stalled", m_active->left == LeaveReason::Stalled }, { "left", name(m_active->left) },
                 { "cancelled", name(m_active->cancelReason) }, { "problem", m_lastError },
                 { "events", m_eventStream.events() }, { "ms", 1000 * toSeconds(m_context.now() - begun) } });
     }
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -98,7 +98,8 @@
         [this, &stalledHosts](std::string_view id) {
             return stalledHosts.contains(id) || m_context.balancer.isSuspected(id, m_context.now());
         },
-        !anyCallSeen, m_context.disabledMechanisms };
+        !anyCallSeen, m_context.disabledMechanisms,
+        [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); } };
     auto orders = planner->plan(input);
     if (input.now - m_summaryAt >= summaryPeriod) {
         m_summaryAt = input.now;
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -36,11 +36,15 @@
     m_targetsRoutes = m_context.routes.get();
     const FleetConfig& config = m_context.routes->config();
     std::vector<ServingTarget> targets;
+    m_retiringHeads.clear();
     for (const ReplicaView& replica : m_context.hosts.replicas()) {
         const ServiceSpec* service = config.service(replica.service);
         const ModelSpec* model = service ? service->model(replica.model) : nullptr;
         bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
         bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
+        bool isClosing = replica.head && replica.head->status.membership->state == MemberState::Closing;
+        if (isClosing && !isLeaving)
+            m_retiringHeads.insert(replica.head->id);
         if (!model || !isOpen || isLeaving || !replica.isComplete(model->hostsPerReplica))
             continue;
         targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
@@ -57,8 +61,9 @@
 }
 
 // All streams of a replica that lost a member stall at once. Those that can go on elsewhere move instead of waiting for
-// an error; the others wait, because a silent replica may go on.
-void Gateway::moveCallsOfSilentServers()
+// an error; the others wait, because a silent replica may go on. The same holds for slow servers. Calls also move from
+// replicas that give way to other models, as these need the hosts soon.
+void Gateway::moveCalls()
 {
     MonotonicTime now = m_context.now();
     std::vector<std::string> stalled;
@@ -70,6 +75,8 @@
     for (const auto& call : m_context.calls) {
         if (call->slowAt && *call->slowAt <= now)
             call->leaveServer(LeaveReason::Slow);
+        if (m_retiringHeads.contains(call->hostId))
+            call->leaveServer(LeaveReason::Retiring);
     }
 }
 
