Answer a call that failed with an exception, and stop a node without one of its tasks

What callers saw, or would have: an exception in a session closed its connection without an answer, and one that ended a background task left a node that went on serving, with an old configuration or without stall detection.

Now the caller gets its final answer: 502 if the call may have run, and the connection stays usable. A node that lost an endless task logs task_failed and stops gracefully; the platform starts it again.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 
@@ -157,7 +158,15 @@
         [self = shared_from_this()](const std::exception_ptr& exception) {
             logTaskFailure(self->m_context.log, "watching a caller's connection", exception);
         });
-    bool keep = co_await forwarder.run();
+    bool keep = false;
+    std::string problem;
+    try {
+        keep = co_await forwarder.run();
+    } catch (const std::exception& exception) {
+        problem = exception.what();
+    }
+    if (!problem.empty())
+        co_await forwarder.respondAfterException(problem);
     forwarder.active()->isDone = true;
     beast::error_code ignored; // Ends watchForDisconnect(); the connection may already be closed.
     m_stream.socket().cancel(ignored);
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -98,6 +98,18 @@
     co_return m_keepAlive&& callerStays&& m_caller.socket().is_open();
 }
 
+asio::awaitable<void> CallForwarder::respondAfterException(std::string_view problem)
+{
+    m_active->backend = nullptr;
+    if (!m_active->hostId.empty())
+        m_context.balancer.sendEnded(std::exchange(m_active->hostId, {}), SendResult::CallerGone, m_context.now());
+    releaseReservation();
+    m_possibleRuns = std::max(m_possibleRuns, m_sends); // It is unknown how far the last send had come.
+    m_lastError = fmt::format("internal error: {}", problem);
+    m_lastFailureResponse.reset();
+    co_await respondWithFailure();
+}
+
 bool CallForwarder::findRoute()
 {
     m_route = m_routes->find(m_call.host, m_call.target);
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -30,6 +30,8 @@
 
     // Returns whether the caller's connection may carry another request.
     asio::awaitable<bool> run();
+    // Gives the caller its final answer after an exception ended run().
+    asio::awaitable<void> respondAfterException(std::string_view problem);
     const std::shared_ptr<ActiveCall>& active() const { return m_active; }
 
 private:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,18 +87,27 @@
                 { "allowed", "a number of cores above 0, such as 0.25" } });
     m_context.log.write(
         "started", { { "callers", settings.callers.toString() }, { "store", settings.store.toString() } });
-    asio::co_spawn(m_context.io, m_configFollower.run(), loggingFailure(m_context.log, "following the configuration"));
-    asio::co_spawn(
-        m_context.io, m_hostFollower.run(), loggingFailure(m_context.log, "following the list of backend servers"));
-    asio::co_spawn(m_context.io, m_lease.follow(), loggingFailure(m_context.log, "following the controller's log"));
-    asio::co_spawn(m_context.io, m_lease.run(), loggingFailure(m_context.log, "claiming the lease"));
-    asio::co_spawn(m_context.io, m_controller.run(), loggingFailure(m_context.log, "controlling replicas"));
-    asio::co_spawn(m_context.io, m_peers.run(), loggingFailure(m_context.log, "exchanging state with nodes"));
-    asio::co_spawn(m_context.io, m_loads.run(), loggingFailure(m_context.log, "exchanging loads"));
-    asio::co_spawn(m_context.io, runMaintenance(), loggingFailure(m_context.log, "maintenance"));
+    startEssential("following the configuration", m_configFollower.run());
+    startEssential("following the list of backend servers", m_hostFollower.run());
+    startEssential("following the controller's log", m_lease.follow());
+    startEssential("claiming the lease", m_lease.run());
+    startEssential("controlling replicas", m_controller.run());
+    startEssential("exchanging state with nodes", m_peers.run());
+    startEssential("exchanging loads", m_loads.run());
+    startEssential("maintenance", runMaintenance());
     return std::monostate {};
 }
 
+// A node without one of its tasks could not keep its promises. It stops, and the platform starts it again.
+void Gateway::startEssential(std::string_view task, asio::awaitable<void> work)
+{
+    asio::co_spawn(m_context.io, std::move(work), [this, task](const std::exception_ptr& exception) {
+        logTaskFailure(m_context.log, task, exception);
+        if (exception)
+            stop();
+    });
+}
+
 void Gateway::acceptCaller(asio::ip::tcp::socket socket)
 {
     auto session = std::make_shared<CallerSession>(m_context, std::move(socket));
@@ -189,7 +198,7 @@
             if (tick % ticksPerReportExpiry == 0)
                 m_context.hosts.expireReports(m_context.now());
             refreshPeersInFlight();
-            moveCallsOfSilentServers();
+            moveCalls();
             if (m_context.suspicion.hasUrgentChanges())
                 m_peers.exchangeNow();
             updateDemand();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,7 @@
     void applyReceived(const NodeExchange::Received&, std::string_view sender);
     void divideRateLimits();
 
+    void startEssential(std::string_view task, asio::awaitable<void>);
     asio::awaitable<void> runMaintenance();
     void refreshTargets();
     void refreshHostAddresses();
@@ -60,7 +61,7 @@
     std::optional<MonotonicTime> configConfirmedAt() const;
     MonotonicTime::duration configAge() const;
     bool isConfigCurrent() const;
-    void moveCallsOfSilentServers();
+    void moveCalls();
     void moveCallsOfStalledReplica(const std::string& hostId);
     void updateDemand();
     asio::awaitable<void> stopGracefully();
@@ -86,6 +87,7 @@
     std::map<std::string, Host, std::less<>> m_hostsWithoutService;
     // By name: when to remove hosts whose entries expired around a store outage or were overwritten by another writer.
     std::map<std::string, MonotonicTime, std::less<>> m_pendingRemovals;
+    std::set<std::string, std::less<>> m_retiringHeads; // Of replicas that give way to other models.
     std::map<std::string, MonotonicTime, std::less<>> m_stalledReplicas; // By head: when the nodes were last told.
     MonotonicTime::duration m_longestPause {}; // Since the process started.
     uint64_t m_targetsHostVersion = UINT64_MAX; // Versions from which the targets were computed.
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -94,6 +94,23 @@
         std::atomic<int> m_calls { 0 };
     };
 
+    // Throws for some requests and configurations.
+    class ThrowingCodec : public PlatformCodec {
+    public:
+        HttpRequest forward(const Call& call, const SendParameters& send) const override
+        {
+            if (call.target.ends_with("throw"))
+                throw std::runtime_error("thrown by a test");
+            return PlatformCodec::forward(call, send);
+        }
+        Settled<FleetConfig> config(std::string_view text) const override
+        {
+            if (text.find("\"version\":99") != std::string_view::npos)
+                throw std::runtime_error("thrown by a test");
+            return PlatformCodec::config(text);
+        }
+    };
+
     // Sends raw bytes to a server and returns the first part of its answer; empty if it closes the connection.
     std::string exchangeRaw(const Address& address, std::string_view bytes)
     {
@@ -288,6 +305,28 @@
     EXPECT_EQ(m_hosts[0]->runs, 1);
 }
 
+// An exception closed the caller's connection without an answer and without a log line.
+TEST_F(GatewayTest, AnswersARequestThatFailedWithAnException)
+{
+    static const ThrowingCodec codec;
+    startServing(0, 1);
+    m_node = std::make_unique<TestNode>("node-2", m_store.address(), std::string(), &codec);
+    ASSERT_TRUE(eventually([&] { return status("/again/x") == 200; }));
+    EXPECT_EQ(status("/again/throw"), 502);
+    EXPECT_EQ(status("/again/x"), 200) << "the node goes on";
+}
+
+// A node whose background task had ended with an exception went on serving without it.
+TEST_F(GatewayTest, StopsWithoutOneOfItsTasks)
+{
+    static const ThrowingCodec codec;
+    startServing(0, 1);
+    m_node = std::make_unique<TestNode>("node-2", m_store.address(), std::string(), &codec);
+    ASSERT_TRUE(eventually([&] { return status("/again/x") == 200; }));
+    publish(99);
+    EXPECT_TRUE(eventually([&] { return m_node->hasEnded(); }, Milliseconds(6000)));
+}
+
 TEST_F(GatewayTest, AbortsStreamsOfDisconnectedCallers)
 {
     startServing(2, 0);
--- a/tests/platform/testnode.cpp
+++ b/tests/platform/testnode.cpp
@@ -6,9 +6,9 @@
 
 namespace Kumquatpick {
 
-TestNode::TestNode(std::string name, Address store, std::string seeds)
+TestNode::TestNode(std::string name, Address store, std::string seeds, const Platform* codec)
     : m_settings(*new GatewaySettings)
-    , m_codec(*new PlatformCodec)
+    , m_codec(codec ? *codec : *new PlatformCodec)
 {
     m_settings.name = std::move(name);
     m_settings.zone = "z1";
--- a/tests/platform/testnode.h
+++ b/tests/platform/testnode.h
@@ -15,7 +15,8 @@
 // A gateway node on local ports, with its event loop on its own thread.
 class TestNode {
 public:
-    TestNode(std::string name, Address store, std::string seeds = {});
+    // codec: replaces the platform's own; it has to outlive the node.
+    TestNode(std::string name, Address store, std::string seeds = {}, const Platform* codec = nullptr);
     ~TestNode();
     TestNode(const TestNode&) = delete;
     TestNode& operator=(const TestNode&) = delete;
@@ -32,7 +33,7 @@
     Address reserveAddress();
 
     GatewaySettings& m_settings; // Never destroyed, as the gateway refers to it.
-    PlatformCodec& m_codec;
+    const Platform& m_codec;
     asio::io_context m_io;
     std::vector<asio::ip::tcp::acceptor> m_reservations; // Keep the node's ports from being given to other sockets.
     Gateway* m_gateway; // Never destroyed, as suspended coroutines refer to it until the event loop is gone.
