--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -21,7 +21,7 @@
     constexpr Milliseconds unlistedDrainTime { 300 };
     constexpr Milliseconds leaveNoticeTimeout { 600 };
     // Until all nodes have stopped sending to a closed head and have told of their requests there.
-    constexpr Milliseconds closeNewsDelay { 1000 };
+    constexpr Milliseconds closePropagationDelay { 1000 };
     // Concurrent loads share the weight store's bandwidth, so one may take several times its nominal time.
     constexpr int maxLoadFactor = 4;
     constexpr Milliseconds formationMargin { 10'000 };
@@ -286,7 +286,7 @@
         return false;
     Milliseconds closedFor
         = tracked.closedSince ? std::chrono::floor<Milliseconds>(input.now - *tracked.closedSince) : Milliseconds(0);
-    return closedFor < closeNewsDelay || (input.inFlight(tracked.headId) > 0 && closedFor < maxDrainTime);
+    return closedFor < closePropagationDelay || (input.inFlight(tracked.headId) > 0 && closedFor < maxDrainTime);
 }
 
 bool ReplicaPlanner::recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const
--- a/src/fleet/stopplan.cpp
+++ b/src/fleet/stopplan.cpp
@@ -10,7 +10,7 @@
     // other nodes.
     constexpr int staleListLifetimes = 3;
     // Until the other nodes have dropped this one from the lists that they hand out.
-    constexpr Milliseconds newsDelay { 500 };
+    constexpr Milliseconds listUpdateDelay { 500 };
     // A call that arrives later and is cut off counts as lost, whatever its server was doing.
     constexpr Milliseconds maxUnsureArrival { 3000 };
 
@@ -41,7 +41,7 @@
 
 MonotonicTime StopPlan::callersLeftAt() const
 {
-    return std::min(m_requestedAt + m_listLifetime * staleListLifetimes + newsDelay, cutAt());
+    return std::min(m_requestedAt + m_listLifetime * staleListLifetimes + listUpdateDelay, cutAt());
 }
 
 MonotonicTime StopPlan::cutAt() const { return m_requestedAt + m_grace - cutMargin(m_grace); }
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -101,8 +101,10 @@
 asio::awaitable<void> CallForwarder::respondAfterException(std::string_view problem)
 {
     m_active->backend = nullptr;
-    if (!m_active->hostId.empty())
+    if (!m_active->hostId.empty()) {
+        m_context.suspicion.withdrawn(m_fingerprint, m_active->hostId);
         m_context.balancer.sendEnded(std::exchange(m_active->hostId, {}), SendResult::CallerGone, m_context.now());
+    }
     releaseReservation();
     m_possibleRuns = std::max(m_possibleRuns, m_sends); // It is unknown how far the last send had come.
     m_lastError = fmt::format("internal error: {}", problem);
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -111,8 +111,8 @@
     MonotonicTime m_sentAt {}; // Time of the current send.
     std::vector<std::string> m_triedHostIds;
     std::string m_reservedHostId; // Counted as a send in flight there; empty if none is reserved.
-    bool m_hasLeftServer
-        = false; // A send was given up for another server, so the call waits for one until its deadline.
+    // A send was given up for another server, so the call waits for one until its deadline.
+    bool m_hasLeftServer = false;
     bool m_needsRetry = false; // The next send counts as a retry.
     uint32_t m_sends = 0;
     uint32_t m_possibleRuns = 0; // Sends that may have run the call.
