--- a/tests/platform/processsoak_test.cpp
+++ b/tests/platform/processsoak_test.cpp
@@ -260,15 +260,17 @@
             logEvent(fmt::format("node {} stops", index));
         }
 
+        FakeHost& randomHost() { return *m_hosts[static_cast<size_t>(randomBelow(static_cast<int>(m_hosts.size())))]; }
+
         void replaceHost()
         {
-            auto& host = m_hosts[static_cast<size_t>(randomBelow(static_cast<int>(m_hosts.size())))];
-            if (host->isDraining)
+            FakeHost& host = randomHost();
+            if (host.isDraining)
                 return;
-            host->isDraining = true;
-            host->announce();
-            addHost(host->id().starts_with("plain"));
-            logEvent(host->id() + " leaves, another one comes");
+            host.isDraining = true;
+            host.announce();
+            addHost(host.id().starts_with("plain"));
+            logEvent(host.id() + " leaves, another one comes");
         }
 
         void killNode()
@@ -310,9 +312,9 @@
 
         void silenceHost()
         {
-            auto& host = m_hosts[static_cast<size_t>(randomBelow(static_cast<int>(m_hosts.size())))];
-            host->isStalled = !host->isStalled;
-            logEvent(fmt::format("{} {}", host->id(), host->isStalled ? "sends no events" : "sends events again"));
+            FakeHost& host = randomHost();
+            host.isStalled = !host.isStalled;
+            logEvent(fmt::format("{} {}", host.id(), host.isStalled ? "sends no events" : "sends events again"));
         }
 
         void endTroubleOf(std::optional<size_t> index)
