--- a/tests/fleet/lossyworld.h
+++ b/tests/fleet/lossyworld.h
@@ -22,6 +22,7 @@
         : PlannerWorld({ makeModel("large", sizes.large), makeModel("small", sizes.small) })
         , m_sizes(sizes)
     {
+        closingDuration = Milliseconds(2500); // Most calls of a closing head move to other replicas before that.
         service.models[1].load = Milliseconds(12'000);
         service.models[1].warmLoad = Milliseconds(1100);
         service.timing.loadsPerSecond = 14;
