--- a/tests/platform/crashingrequests_test.cpp
+++ b/tests/platform/crashingrequests_test.cpp
@@ -100,6 +100,15 @@
         std::map<int, int> m_statuses; // Number of answers by status; 0: none.
     };
 
+    class CrashingRequestsOfASmallService : public CrashingRequests,
+                                            public testing::WithParamInterface<FakeHost::CrashMode> { };
+
+    std::string crashModeName(const testing::TestParamInfo<FakeHost::CrashMode>& mode)
+    {
+        constexpr const char* names[] = { "Refused", "Silent", "BackAtOnce", "BackAsAnother" };
+        return names[static_cast<size_t>(mode.param)];
+    }
+
 }
 
 // Guards against a request that ends each server it runs on, and whose caller sends it again to any node.
@@ -123,6 +132,34 @@
     EXPECT_GT(served, sent * 9 / 10) << "requests with other contents are served";
 }
 
+// Guards against a request that goes on ending the servers of a small service in ways that do not look like an end: the
+// connection stays open without a word, or the next process listens at once, or has another id.
+TEST_P(CrashingRequestsOfASmallService, AreStoppedHoweverServersEnd)
+{
+    addHosts(3, true);
+    for (auto& host : m_hosts)
+        host->crashMode = GetParam();
+    startNodes(3);
+    ASSERT_TRUE(eventually([&] { return areAllServing("/again/x"); }));
+    {
+        std::list<CallerThread> callers; // Several, as a silent server keeps its caller waiting.
+        for (const auto& node : m_nodes) {
+            callers.emplace_back(node->callers(), "/once/x", headers(), Milliseconds(30));
+            for (int i = 0; i < 3; ++i)
+                callers.emplace_back(node->callers(), "/again/x", headers(), Milliseconds(60), "crash");
+        }
+        std::this_thread::sleep_for(GetParam() == FakeHost::CrashMode::Silent ? 14s : 8s);
+    }
+    for (const std::string& violation : violations())
+        ADD_FAILURE() << violation;
+    EXPECT_TRUE(eventually([&] { return areAllServing("/again/x"); })) << "requests with other contents are served";
+}
+
+INSTANTIATE_TEST_SUITE_P(CrashModes, CrashingRequestsOfASmallService,
+    testing::Values(FakeHost::CrashMode::Refused, FakeHost::CrashMode::Silent, FakeHost::CrashMode::BackAtOnce,
+        FakeHost::CrashMode::BackAsAnother),
+    crashModeName);
+
 // The same for a stream, which breaks after its head was sent.
 TEST_F(CrashingRequests, AreStoppedAfterTheirStreamsBroke)
 {
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -17,6 +17,7 @@
     constexpr auto unansweredCallDuration = 5s; // Longer than the gateway waits for an answer of the store.
     constexpr size_t storeThreads = 64; // Each unanswered call occupies a thread.
     constexpr auto crashDuration = 700ms;
+    constexpr auto silentDuration = 4500ms; // Longer than callers wait for an answer.
     constexpr auto orderDelay = 1500ms; // Longer than the gateway waits for an order's answer.
 
     void writeJson(httplib::Response& response, int status, const json& body)
@@ -85,6 +86,14 @@
     m_http.stop();
 }
 
+void FakeHttpServer::restartAtOnce() { prepareRestart(); }
+
+void FakeHttpServer::crashSilently()
+{
+    crash();
+    std::this_thread::sleep_for(silentDuration);
+}
+
 void FakeHttpServer::stop()
 {
     m_isEnding = true;
@@ -254,6 +263,12 @@
     stop();
 }
 
+std::string FakeHost::id()
+{
+    std::lock_guard lock(m_mutex);
+    return m_options.id;
+}
+
 void FakeHost::announce() { m_store.put("keyed.servers", m_options.id, report(true).dump()); }
 
 void FakeHost::restart()
@@ -276,6 +291,11 @@
     announcedLimit = -1;
     refusesRequests = false;
     announcesDraining = false;
+    if (crashMode == CrashMode::BackAsAnother) {
+        removeEntry();
+        std::lock_guard lock(m_mutex);
+        m_options.id += "x";
+    }
     restart();
 }
 
@@ -457,7 +477,19 @@
         std::lock_guard lock(m_mutex);
         m_crashingArrivals.push_back({ std::chrono::steady_clock::now(), request.body });
     }
-    crash();
+    switch (crashMode.load()) {
+    case CrashMode::Refused:
+    case CrashMode::BackAsAnother:
+        crash();
+        break;
+    case CrashMode::Silent:
+        crashSilently();
+        break;
+    case CrashMode::BackAtOnce:
+        dropStreams();
+        restartAtOnce();
+        break;
+    }
     response.set_content_provider(1000, "text/plain", [](size_t, size_t, httplib::DataSink&) { return false; });
 }
 
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -33,6 +33,10 @@
     void start();
     // Closes the listener from a handler, as if the process had ended; listens again after a while.
     void crash();
+    // From a handler: the next process listens at once.
+    void restartAtOnce();
+    // From a handler: keeps the connections open without a word until it listens again.
+    void crashSilently();
     // Called before it listens again.
     virtual void prepareRestart() { }
 
@@ -111,7 +115,7 @@
 
     // Writes its entry to the store.
     void announce();
-    std::string id() const { return m_options.id; }
+    std::string id();
     // Simulates a restart under the same id; only the staged model is kept.
     void restart();
     // Deletes its entry, as happens after missed heartbeats; announce() restores it.
@@ -135,6 +139,14 @@
     std::vector<Arrival> arrivals();
     // Requests with such bodies end the server that runs them.
     static constexpr const char* crashingPrefix = "crash";
+    // How a server ends under such a request. In all cases its next process has the same address.
+    enum class CrashMode : uint8_t {
+        Refused, // Connections are closed, and new ones refused for a while.
+        Silent, // Connections stay open without a word, and new ones are refused for a while.
+        BackAtOnce, // Connections are closed, and the next process accepts new ones at once.
+        BackAsAnother, // As Refused, and the next process has another id.
+    };
+    std::atomic<CrashMode> crashMode { CrashMode::Refused };
     struct CrashingArrival {
         std::chrono::steady_clock::time_point at;
         std::string body;
