BUDGET: tell a node that started again what was counted before

Cause: counts pass between nodes by change, from the position that the other node acknowledged and without what it had reported itself. Both were kept per address over a restart of the process behind it.

Change: a message of another incarnation resets the position and the sources.

Ruled out: the list of nodes, which has hashes of its own; the removal of old counts (kept for an hour).

--- a/src/fleet/nodeexchangemessages.cpp
+++ b/src/fleet/nodeexchangemessages.cpp
@@ -156,8 +156,11 @@
     partner.clockAt = now;
     m_lastContactAt = now;
     m_isIsolated = false;
-    if (partner.received.incarnation != message.sender.incarnation)
+    if (partner.received.incarnation != message.sender.incarnation) {
         partner.received = {};
+        partner.acknowledged = {};
+        m_suspicions.forgetSource(sender);
+    }
     if (message.received.incarnation == m_table.self().incarnation)
         partner.acknowledged = message.received;
     partner.hashes = message.bucketHashes;
--- a/src/fleet/suspicionfeed.cpp
+++ b/src/fleet/suspicionfeed.cpp
@@ -39,6 +39,14 @@
     return true;
 }
 
+void SuspicionFeed::forgetSource(std::string_view source)
+{
+    for (auto& [key, entry] : m_entries) {
+        if (entry.source == source)
+            entry.source.clear();
+    }
+}
+
 void SuspicionFeed::evictOldest()
 {
     Key oldest = m_changes.oldest();
--- a/src/fleet/suspicionfeed.h
+++ b/src/fleet/suspicionfeed.h
@@ -28,6 +28,8 @@
 
     // Returns whether the count was new. The source is the address of the node that reported it, empty for this node.
     bool merge(const SuspicionCount&, std::string_view source, MonotonicTime now);
+    // The node at this address started again, and knows nothing of what it reported before.
+    void forgetSource(std::string_view source);
     // Drops counts that were cleared or are too old to stop a request.
     void expire(MonotonicTime now);
     // Counts that changed after the version, oldest first, without those that the receiver reported.
--- a/tests/fleet/crashingrequests_test.cpp
+++ b/tests/fleet/crashingrequests_test.cpp
@@ -78,6 +78,31 @@
     EXPECT_LE(m_world.arrivalsAfterStop(), maxArrivalsAfterStop);
 }
 
+// All nodes are replaced in turn. Guards against a node that is never told again what it had counted itself before it
+// was restarted, so that the counts leave the fleet with the last of the old processes.
+TEST_P(CrashingRequestsAtSize, StayStoppedOverARollingRestart)
+{
+    constexpr int groups = 6;
+    startWithCrashingRequest(Milliseconds(24'000));
+    m_world.fleet.run(Milliseconds(4000));
+    int endedBefore = m_world.deaths();
+    for (int group = 0; group < groups; ++group) {
+        for (int node = group; node < GetParam(); node += groups)
+            m_world.fleet.kill(node);
+        m_world.fleet.run(Milliseconds(500));
+        for (int node = group; node < GetParam(); node += groups) {
+            m_world.fleet.restart(node);
+            m_world.excuse(node);
+        }
+        m_world.fleet.run(Milliseconds(2000));
+    }
+    m_world.fleet.run(Milliseconds(8000));
+    report("rolling restart");
+    EXPECT_LE(m_world.arrivalsAfterStop(), maxArrivalsAfterStop);
+    // Nodes that start may run it before they are told.
+    EXPECT_LE(m_world.deaths(), endedBefore + groups) << "servers ended after the request was stopped";
+}
+
 // A node that was cut off while the request was stopped learns of it when it is back, and so does one that froze.
 TEST_P(CrashingRequestsAtSize, AreStoppedOnNodesThatWereAway)
 {
