RECOVER: serve callers of a node that is cut off from the servers through nodes that are not

What callers saw: machines that were partitioned from all servers for 12 s served 0 of 376 first tries, and for the first seconds half of all calls at all nodes were late or refused.

Cause: a node took its own view for the state of the servers.

Change: several failures at once cast doubt on the node's own links, and a check tells (ServerReach, reachcheck). A node that is cut off from a service says so, reports no stalls, blames no request for a server's end, and sends calls of this service through a node that reaches it, over one hop; runs so far are passed on with the call. A report of a stall is not believed about a replica that was heard from since.

Ruled out: the controller; it gave no order on account of the cut.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -162,6 +162,13 @@
     if (target.activeStreams > 0 && gap > sameStepMs)
         target.gapMs += gapSmoothing * (gap - target.gapMs);
     target.lastArrival = now;
+    target.heardAt = now;
+}
+
+bool Balancer::hasHeardFrom(std::string_view hostId, MonotonicTime since) const
+{
+    auto found = m_targets.find(hostId);
+    return found != m_targets.end() && found->second.heardAt > since;
 }
 
 void Balancer::excludePause(MonotonicTime::duration pause, MonotonicTime now)
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -81,6 +81,8 @@
     // Avoids a target until this time because another node reported it as stalled.
     void suspect(std::string_view hostId, MonotonicTime until);
     bool isSuspected(std::string_view hostId, MonotonicTime now) const;
+    // Whether data of the target's streams has arrived since this time.
+    bool hasHeardFrom(std::string_view hostId, MonotonicTime since) const;
     // Targets whose streams have all been idle for longer than the stall limit.
     std::vector<std::string> stalledTargets(MonotonicTime now) const;
 
@@ -105,7 +107,8 @@
         double failures = 0; // Decays with successes.
         int refusals = 0; // Consecutive, because the target was full.
         MonotonicTime fullUntil {};
-        MonotonicTime lastArrival {};
+        MonotonicTime lastArrival {}; // Or the start of its only request.
+        MonotonicTime heardAt {};
         MonotonicTime avoidUntil {};
     };
 
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -112,7 +112,8 @@
     auto found = m_hosts.find(id);
     if (found == m_hosts.end())
         return;
-    m_gone.push_back({ found->first, found->second.address, found->second.draining, isReplaced });
+    m_gone.push_back(
+        { found->first, found->second.service, found->second.address, found->second.draining, isReplaced });
     ++m_version;
     m_hosts.erase(found);
     m_sources.erase(m_sources.find(id));
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -29,6 +29,7 @@
 // A host incarnation that left the list.
 struct GoneHost {
     std::string id;
+    std::string service;
     Address address;
     bool wasDraining = false;
     bool isReplaced = false; // Another incarnation is listed under its name or at its address.
--- a/src/fleet/nodeexchange.cpp
+++ b/src/fleet/nodeexchange.cpp
@@ -50,7 +50,7 @@
     m_own = report;
     m_newestTerm = std::max(m_newestTerm, report.controllerTerm);
     m_anyCallSeen = m_anyCallSeen || report.anyCallSeen;
-    m_table.updateSelf(report.isReady, report.isStopping, m_table.self().monitor);
+    m_table.updateSelf({ report.isReady, report.isStopping, report.cutOffServices, m_table.self().monitor });
 }
 
 void NodeExchange::publishStall(const std::string& hostId, MonotonicTime now)
@@ -229,7 +229,7 @@
     auto answering = std::ranges::find_if(
         targets, [&](const std::string& address) { return !failedRecently(address, now) && isAlive(address); });
     const std::string& monitor = answering == targets.end() ? *targets.begin() : *answering;
-    m_table.updateSelf(self.isReady, self.isStopping, std::string(monitor));
+    m_table.updateSelf({ self.isReady, self.isStopping, self.cutOffServices, std::string(monitor) });
 }
 
 std::vector<std::string> NodeExchange::beginRound(MonotonicTime now, Random& random)
--- a/src/fleet/nodeexchange.h
+++ b/src/fleet/nodeexchange.h
@@ -42,6 +42,7 @@
         uint64_t configVersion = 0;
         uint64_t controllerTerm = 0;
         bool anyCallSeen = false;
+        std::vector<std::string> cutOffServices {};
     };
     void setOwnReport(const OwnReport&, MonotonicTime now);
 
--- a/src/fleet/nodestate.h
+++ b/src/fleet/nodestate.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Kumquatpick {
 
@@ -16,6 +17,8 @@
     double cpuShare = 0; // Of one core.
     bool isStopping = false;
     bool isReady = false;
+    // Services whose backend servers it does not reach although others may; ordered.
+    std::vector<std::string> cutOffServices;
     std::string monitor; // Address of the node that reports this one as silent when it stops calling.
     uint64_t sequence = 0;
     bool isSilent = false; // Reported as silent since this sequence; the node refutes it by raising the sequence.
--- a/src/fleet/nodetable.cpp
+++ b/src/fleet/nodetable.cpp
@@ -34,13 +34,16 @@
     m_changes.skipVersion();
 }
 
-void NodeTable::updateSelf(bool isReady, bool isStopping, std::string_view monitor)
+void NodeTable::updateSelf(SelfReport report)
 {
-    if (m_self.isReady == isReady && m_self.isStopping == isStopping && m_self.monitor == monitor)
+    NodeState updated = m_self;
+    updated.isReady = report.isReady;
+    updated.isStopping = report.isStopping;
+    updated.cutOffServices = std::move(report.cutOffServices);
+    updated.monitor = std::move(report.monitor);
+    if (updated == m_self)
         return;
-    m_self.isReady = isReady;
-    m_self.isStopping = isStopping;
-    m_self.monitor = monitor;
+    m_self = std::move(updated);
     publishSelf(m_self.sequence + 1);
 }
 
--- a/src/fleet/nodetable.h
+++ b/src/fleet/nodetable.h
@@ -39,7 +39,13 @@
 
     const NodeState& self() const { return m_self; }
     // Publishes a change of this node's own state; does nothing if it is unchanged.
-    void updateSelf(bool isReady, bool isStopping, std::string_view monitor);
+    struct SelfReport {
+        bool isReady = false;
+        bool isStopping = false;
+        std::vector<std::string> cutOffServices;
+        std::string monitor;
+    };
+    void updateSelf(SelfReport);
     // Returns whether the state was new. A report of this node as silent, or as another incarnation, is refuted.
     bool merge(const NodeState&, std::string_view source, MonotonicTime now);
     void markSilent(std::string_view address, MonotonicTime now);
--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -33,13 +33,14 @@
     None,
     Stalled, // The streams of its replica have stopped.
     Slow, // The answer takes longer than is usual for its route.
+    CutOff, // This node is cut off from the servers of its service.
     Retiring, // Its replica gives way to another model as soon as its requests have ended.
 };
 
 // For logs.
 constexpr const char* name(LeaveReason reason)
 {
-    constexpr const char* names[] = { "none", "stalled", "slow", "retiring" };
+    constexpr const char* names[] = { "none", "stalled", "slow", "cut_off", "retiring" };
     return names[static_cast<size_t>(reason)];
 }
 
@@ -58,6 +59,8 @@
     asio::ip::tcp::socket& caller;
     asio::steady_timer timer;
     std::string hostId; // Backend server that currently handles the call; empty if none.
+    std::string service; // Of the current send; empty if none.
+    MonotonicTime heardAt {}; // Start of the current send, or the latest data from its server.
     beast::tcp_stream* backend = nullptr;
     CancelReason cancelReason = CancelReason::None;
     LeaveReason left = LeaveReason::None; // Of the current send.
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -25,6 +25,9 @@
     std::string lastEventId; // Last event of an earlier attempt that the caller has received; empty if none.
     std::optional<Milliseconds> timeout; // Time within which the caller needs the complete response.
     std::string body;
+    // Passed on by a node that is cut off from the backend servers, which must not be done twice.
+    bool isRelayed = false;
+    uint32_t earlierRuns = 0; // That a relayed call may have had already.
     // Further headers that are forwarded unmodified.
     std::vector<std::pair<std::string, std::string>> forwardedHeaders;
 };
@@ -36,6 +39,7 @@
     std::string lastEventId;
     Milliseconds timeLeft {}; // Remaining time until the deadline.
     int priority = 0; // 0 is the highest priority.
+    uint32_t earlierRuns = 0; // That the call may have had.
 };
 
 // The head of a response, before it is validated.
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -43,6 +43,7 @@
     , m_deadline(m_arrived + m_call.timeout.value_or(defaultTimeout))
     , m_active(std::make_shared<ActiveCall>(m_call.id, caller.socket(), caller.get_executor()))
     , m_eventStream(m_call.lastEventId)
+    , m_possibleRuns(m_call.earlierRuns)
 {
     m_active->reserveOtherServer = [this] { return reserveOtherServer(); };
     m_context.calls.insert(m_active);
@@ -199,19 +200,22 @@
     MonotonicTime now = m_context.now();
     std::vector<std::string> excluded = m_triedHostIds;
     excluded.push_back(m_hostId);
-    std::string other = chooseHost(now, excluded, true);
+    bool isThroughNode = mayUseNode();
+    std::string other = isThroughNode ? std::string() : chooseHost(now, excluded, true);
     bool mayResume = !m_headForwarded || !m_context.disabledMechanisms.contains(Mechanism::Resume);
     bool isSuspect = m_context.suspicion.verdict(m_fingerprint, now) != SuspicionVerdict::Clear;
     ServerLeave verdict
         = mayLeaveServer({ mayRepeat() && mayResume, isSuspect, m_possibleRuns + 1, m_route->maxAttempts, m_sends,
-            maxSends, m_context.retries.remainingRetries(m_service, now) >= 1, !other.empty() });
+            maxSends, m_context.retries.remainingRetries(m_service, now) >= 1, isThroughNode || !other.empty() });
     m_context.metrics.count(fmt::format("server_leaves_total{{verdict=\"{}\"}}", name(verdict)));
     if (verdict != ServerLeave::Allowed)
         return false;
     m_context.retries.takeRetry(m_service, now);
+    m_hasLeftServer = true;
+    if (isThroughNode)
+        return true;
     m_context.balancer.sendStarted(other, now);
     m_reservedHostId = std::move(other);
-    m_hasLeftServer = true;
     return true;
 }
 
@@ -251,6 +255,10 @@
         m_hostId = m_reservedHostId;
         co_return true;
     }
+    if (isHeldAsSuspect())
+        co_return false;
+    if (chooseNode())
+        co_return true;
     MonotonicTime until = hostWaitDeadline();
     bool hasStarted = m_headForwarded || m_possibleRuns > 0;
     while (m_active->cancelReason == CancelReason::None) {
@@ -275,6 +283,8 @@
 
 bool CallForwarder::maySendAgain(SendOutcome outcome, MonotonicTime now)
 {
+    if (m_nodeRefusal)
+        return false;
     if (outcome == SendOutcome::CallerBroken || m_active->cancelReason != CancelReason::None || now >= m_deadline)
         return false;
     if (outcome != SendOutcome::NotRun && !mayRepeat())
@@ -286,7 +296,10 @@
         return false;
     if (isHeldAsSuspect())
         return false;
-    m_triedHostIds.push_back(m_hostId);
+    if (m_node.empty())
+        m_triedHostIds.push_back(m_hostId);
+    else
+        m_triedNodes.push_back(std::exchange(m_node, {}));
     // A send that got no connection does not count as a retry; the retry of a reserved place was taken with it.
     m_needsRetry = m_hadConnection && m_reservedHostId.empty();
     return true;
@@ -364,6 +377,8 @@
         m_caller.socket().close(ignored);
         co_return;
     }
+    if (m_nodeRefusal && m_possibleRuns == 0)
+        co_return co_await respond(std::move(*m_nodeRefusal));
     if (m_lastFailureResponse)
         co_return co_await respond(std::move(*m_lastFailureResponse));
     bool isDeadlineExceeded = m_active->cancelReason == CancelReason::DeadlineExceeded;
@@ -402,6 +417,10 @@
         fields["first_event_ms"] = 1000 * toSeconds(*m_firstEventAt - m_arrived);
     if (!reason.empty())
         fields["reason"] = reason;
+    if (!m_node.empty())
+        fields["sent_through"] = m_node;
+    if (m_call.isRelayed)
+        fields["relayed"] = true;
     if (!m_hostId.empty()) {
         fields["host"] = m_hostId;
         fields["in_flight_before"] = m_inFlightBefore; // Input of the choice of the host.
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -65,6 +65,7 @@
 
     // One send to a backend server.
     asio::awaitable<SendOutcome> sendOnce();
+    asio::awaitable<SendOutcome> sendToServer();
     asio::awaitable<SendOutcome> sendOver(PeerConnection&);
     asio::awaitable<SendOutcome> readReply(PeerConnection&);
     asio::awaitable<bool> readMatchingHead(PeerConnection&, std::unique_ptr<BodyParser>&, ReplyHead&);
@@ -81,6 +82,12 @@
     asio::awaitable<void> recordRunEnd(SendOutcome, Address);
     asio::awaitable<SendOutcome> forwardResponse(const ResponseHead&, const ReplyHead&, std::string body);
 
+    // One send through another node, which reaches the servers that this one does not.
+    bool chooseNode();
+    bool mayUseNode() const;
+    asio::awaitable<SendOutcome> sendThroughNode();
+    asio::awaitable<SendOutcome> readNodeReply(PeerConnection&);
+
     // The final response.
     asio::awaitable<void> respond(HttpResponse);
     asio::awaitable<void> respondWithFailure();
@@ -115,6 +122,9 @@
     bool m_needsRetry = false; // The next send counts as a retry.
     uint32_t m_sends = 0;
     uint32_t m_possibleRuns = 0; // Sends that may have run the call.
+    std::string m_node; // Address of the node for the current send; empty if it goes to a server directly.
+    std::vector<std::string> m_triedNodes;
+    std::optional<HttpResponse> m_nodeRefusal; // Returned as the final answer.
     bool m_hadConnection = false; // The latest send got a connection.
     uint32_t m_inFlightBefore = 0; // At the host of the latest send, over all nodes known here.
     bool m_mayReuseConnection = false; // Set after a refusal.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -55,6 +55,17 @@
 }
 
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendOnce()
+{
+    m_active->left = LeaveReason::None;
+    m_active->heardAt = m_context.now();
+    m_isClosedByServer = false;
+    m_hasSucceeded = false;
+    if (!m_node.empty())
+        co_return co_await sendThroughNode();
+    co_return co_await sendToServer();
+}
+
+asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendToServer()
 {
     MonotonicTime begun = m_context.now();
     m_sentAt = begun;
@@ -71,11 +82,9 @@
     if (std::exchange(m_reservedHostId, {}).empty())
         m_context.balancer.sendStarted(hostId, begun);
     m_active->hostId = hostId;
-    m_active->left = LeaveReason::None;
+    m_active->service = m_service;
     m_sendEnd = SendResult::Failed;
     m_mayReuseConnection = false;
-    m_isClosedByServer = false;
-    m_hasSucceeded = false;
     uint64_t eventsBefore = m_eventStream.events();
 
     SendOutcome outcome = SendOutcome::NotRun;
@@ -85,8 +94,11 @@
     if (!m_hadConnection) {
         m_lastError = describe(std::get<Error>(acquired));
         m_sendEnd = SendResult::Unreachable;
+        m_context.reach.connectFailed(m_service, hostId);
     } else {
         auto connection = std::move(std::get<0>(acquired));
+        if (!connection->wasUsed)
+            m_context.reach.connected(m_service, m_context.now());
         if (m_active->cancelReason == CancelReason::None) {
             m_active->backend = &connection->stream;
             m_context.suspicion.dispatched(m_fingerprint, hostId, begun);
@@ -98,6 +110,7 @@
             m_context.pool.release(std::move(connection));
     }
     m_active->hostId.clear();
+    m_active->service.clear();
     m_active->slowAt.reset();
     if (m_eventStream.events() > eventsBefore)
         m_context.balancer.adjustActiveStreams(hostId, -1);
@@ -106,7 +119,7 @@
         m_sendEnd = SendResult::CallerGone;
     else if (m_active->left == LeaveReason::Stalled)
         m_sendEnd = SendResult::Stalled;
-    else if (m_active->left == LeaveReason::Retiring)
+    else if (m_active->left == LeaveReason::Retiring || m_active->left == LeaveReason::CutOff)
         m_sendEnd = SendResult::Left;
     m_context.balancer.sendEnded(hostId, m_sendEnd, m_context.now());
     if (outcome != SendOutcome::NotRun)
@@ -124,6 +137,9 @@
 
 void CallForwarder::recordData()
 {
+    m_active->heardAt = m_context.now();
+    if (!m_node.empty())
+        return;
     m_context.balancer.dataArrived(m_hostId, m_context.now());
     m_context.suspicion.heardFrom(m_hostId, m_context.now());
 }
@@ -142,7 +158,7 @@
 {
     SuspicionState& suspicion = m_context.suspicion;
     bool hasEnded = outcome == SendOutcome::Broken && m_isClosedByServer
-        && co_await hasServerEnded(m_context, m_hostId, std::move(address));
+        && co_await hasServerEnded(m_context, m_hostId, m_service, std::move(address));
     if (hasEnded)
         recordServerEnd(m_context, m_hostId, ServerEndSign::ClosedConnection, m_call.id);
     else if (m_hasSucceeded)
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -10,6 +10,7 @@
 #include "fleet/retryallowance.h"
 #include "fleet/retrydetector.h"
 #include "fleet/routetable.h"
+#include "fleet/serverreach.h"
 #include "fleet/stopplan.h"
 #include "gateway/activecall.h"
 #include "gateway/connectionpool.h"
@@ -19,12 +20,16 @@
 #include "gateway/settings.h"
 #include "suspicion/suspicionstate.h"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Kumquatpick {
 
@@ -85,6 +90,9 @@
     // exist.
     bool isConfigCurrent = false;
     std::map<Address, MonotonicTime> hostAddresses; // Includes hosts that were listed recently.
+    ServerReach reach; // Whether this node itself is cut off from backend servers.
+    // Addresses for callers of other nodes that reach the service.
+    std::function<std::vector<std::string>(std::string_view service)> nodesReaching;
     // Of a message to or from another node, with what it answered. Counted per zone, because traffic between zones is
     // slow and billed.
     void countPeerBytes(std::string_view kind, std::string_view zone, size_t bytes)
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -93,10 +93,12 @@
     auto wanted = wantedReplicas(service);
     bool anyCallSeen = m_context.anyCallSeen || m_peers.anyCallSeen();
     HostIdSet stalledHosts = stalledHeads();
+    bool isCutOff = m_context.reach.isCutOff(service.name);
     PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
         [this](std::string_view id) { return contact(id); },
-        [this, &stalledHosts](std::string_view id) {
-            return stalledHosts.contains(id) || m_context.balancer.isSuspected(id, m_context.now());
+        [this, &stalledHosts, isCutOff](std::string_view id) {
+            bool isSuspectedHere = !isCutOff && m_context.balancer.isSuspected(id, m_context.now());
+            return stalledHosts.contains(id) || isSuspectedHere;
         },
         !anyCallSeen, m_context.disabledMechanisms,
         [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); } };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,6 +52,7 @@
     , m_entries(io, m_context.log, [this](const HttpRequest& request) { return answerEntries(request); })
     , m_peerServer(io, m_context.log, [this](const HttpRequest& request) { return answerPeer(request); })
 {
+    m_context.nodesReaching = [this](std::string_view service) { return m_peers.nodesReaching(service); };
     m_hostFollower.setReadFromPeer(
         [this](uint64_t from, bool isStoreUnavailable) { return m_peers.reads().readHosts(from, isStoreUnavailable); });
     m_peers.reads().setHostRecordSource([this](uint64_t from) {
@@ -199,6 +200,7 @@
             if (tick % ticksPerReportExpiry == 0)
                 m_context.hosts.expireReports(m_context.now());
             refreshPeersInFlight();
+            checkLinks();
             moveCalls();
             if (m_context.suspicion.hasUrgentChanges())
                 m_peers.exchangeNow();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,7 +62,12 @@
     std::optional<MonotonicTime> configConfirmedAt() const;
     MonotonicTime::duration configAge() const;
     bool isConfigCurrent() const;
+    // Finds out whether failures of several servers are failures of this node's own links.
+    void checkLinks();
+    asio::awaitable<void> checkReachOf(std::string service);
+    void suspectOtherServices(std::string_view cutOff);
     void moveCalls();
+    bool isReplicaAtFault(const std::string& hostId);
     void moveCallsOfStalledReplica(const std::string& hostId);
     void updateDemand();
     asio::awaitable<void> stopGracefully();
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -20,7 +20,9 @@
 
         void operator()(const StalledHead& head) const
         {
-            context.balancer.suspect(head.hostId, observedAt + reportedStallAvoidance);
+            // What this node heard from it since then disproves the report.
+            if (!context.balancer.hasHeardFrom(head.hostId, observedAt))
+                context.balancer.suspect(head.hostId, observedAt + reportedStallAvoidance);
         }
         void operator()(const ReportedStatus& reported) const
         {
@@ -33,7 +35,7 @@
 NodeExchange::OwnReport Gateway::ownReport() const
 {
     return { isReady(), m_context.isStopping(), m_context.routes ? m_context.routes->version() : 0, m_lease.term(),
-        m_context.anyCallSeen };
+        m_context.anyCallSeen, m_context.reach.cutOffServices() };
 }
 
 void Gateway::applyReceived(const NodeExchange::Received& received, std::string_view sender)
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds maxTargetsPause { 300 };
     // For which a stalled replica gets no new calls.
     constexpr Milliseconds stalledAvoidance { 1500 };
+    // A call whose server has sent nothing for this long while this node is cut off.
+    constexpr Milliseconds cutOffSilence { 250 };
     // While a replica stays stalled, the other nodes are told again before they use it again.
     constexpr Milliseconds stallNoticePeriod { 1000 };
 
@@ -70,9 +72,13 @@
     if (!m_context.disabledMechanisms.contains(Mechanism::StalledStreamClose))
         stalled = m_context.balancer.stalledTargets(now);
     std::erase_if(m_stalledReplicas, [&](const auto& entry) { return !std::ranges::count(stalled, entry.first); });
-    for (const std::string& hostId : stalled)
-        moveCallsOfStalledReplica(hostId);
+    for (const std::string& hostId : stalled) {
+        if (stalled.size() == 1 || isReplicaAtFault(hostId))
+            moveCallsOfStalledReplica(hostId);
+    }
     for (const auto& call : m_context.calls) {
+        if (m_context.reach.isCutOff(call->service) && now - call->heardAt > cutOffSilence)
+            call->leaveServer(LeaveReason::CutOff);
         if (call->slowAt && *call->slowAt <= now)
             call->leaveServer(LeaveReason::Slow);
         if (m_retiringHeads.contains(call->hostId))
@@ -80,6 +86,17 @@
     }
 }
 
+// Whether a stalled replica is at fault rather than the links of this node. Of several at once that is known only after
+// a check, within a fraction of a second.
+bool Gateway::isReplicaAtFault(const std::string& hostId)
+{
+    const Host* host = m_context.hosts.find(hostId);
+    if (!host || m_context.reach.isConfirmed(host->service, m_context.now()))
+        return true;
+    m_context.reach.suspect(host->service);
+    return false;
+}
+
 void Gateway::moveCallsOfStalledReplica(const std::string& hostId)
 {
     MonotonicTime now = m_context.now();
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -21,8 +21,11 @@
     json encodeState(const NodeState& state)
     {
         int flags = (state.isStopping ? 1 : 0) + (state.isReady ? 2 : 0) + (state.isSilent ? 4 : 0);
-        return json::array({ state.address, state.name, state.incarnation, state.callers, state.zone, state.cpuShare,
-            flags, state.monitor, state.sequence });
+        json result = json::array({ state.address, state.name, state.incarnation, state.callers, state.zone,
+            state.cpuShare, flags, state.monitor, state.sequence });
+        if (!state.cutOffServices.empty())
+            result.push_back(state.cutOffServices);
+        return result;
     }
 
     NodeState decodeState(const json& entry)
@@ -40,6 +43,9 @@
         state.isSilent = flags & 4;
         state.monitor = entry.at(7).get<std::string>();
         state.sequence = entry.at(8).get<uint64_t>();
+        constexpr size_t cutOffServicesAt = 9; // Nodes that reach all services send none.
+        if (entry.size() > cutOffServicesAt)
+            state.cutOffServices = entry.at(cutOffServicesAt).get<std::vector<std::string>>();
         return state;
     }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -272,6 +272,19 @@
     return total;
 }
 
+std::vector<std::string> Peers::nodesReaching(std::string_view service) const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, entry] : m_exchange.table().others()) {
+        const NodeState& state = entry.state;
+        bool takesCalls
+            = m_exchange.isAlive(address) && state.isReady && !state.isStopping && !m_exchange.hasFailed(address);
+        if (takesCalls && std::ranges::find(state.cutOffServices, service) == state.cutOffServices.end())
+            result.push_back(state.callers);
+    }
+    return result;
+}
+
 // A peer that did not respond to the last call may have ended, so callers get its address only if there is no other.
 std::vector<std::string> Peers::callerAddresses()
 {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -67,6 +67,8 @@
 
     // Addresses for callers of some other live nodes that take requests.
     std::vector<std::string> callerAddresses();
+    // Addresses for callers of live nodes that take requests, and are not known to be cut off from the service.
+    std::vector<std::string> nodesReaching(std::string_view service) const;
     size_t aliveCount() const { return m_exchange.aliveCount(); }
     // Whether the given incarnation of a node, in the format of incarnationName(), is alive.
     bool isIncarnationAlive(std::string_view incarnation) const;
--- a/src/gateway/serverends.cpp
+++ b/src/gateway/serverends.cpp
@@ -1,7 +1,10 @@
 #include "gateway/serverends.h"
 
 #include "fleet/hosttable.h"
+#include "gateway/asio.h"
 #include "gateway/context.h"
+#include "gateway/reachcheck.h"
+#include "gateway/task.h"
 #include "suspicion/suspicion.h"
 
 #include <fmt/format.h>
@@ -14,6 +17,8 @@
 
     // A running host accepts within a round trip.
     constexpr Milliseconds acceptTimeout { 200 };
+    // In which the other nodes find out, and tell, that they do not reach a service either.
+    constexpr Milliseconds reachReportDelay { 1000 };
 
     // For logs.
     constexpr const char* name(ServerEndSign sign)
@@ -42,13 +47,37 @@
     }
 }
 
-asio::awaitable<bool> hasServerEnded(GatewayContext& context, std::string_view hostId, Address address)
+namespace {
+
+    // Counts the end once no other node reaches the service either, so that it is not this node that is cut off.
+    asio::awaitable<void> recordEndUnlessCutOff(GatewayContext& context, std::string hostId, std::string service)
+    {
+        co_await sleepFor(reachReportDelay);
+        if (context.nodesReaching(service).empty())
+            recordServerEnd(context, hostId, ServerEndSign::Unreachable, {});
+    }
+
+}
+
+asio::awaitable<bool> hasServerEnded(GatewayContext& context, std::string hostId, std::string service, Address address)
 {
     if (context.suspicion.hasDied(hostId))
         co_return true;
     bool isRunning = co_await context.pool.accepts(std::move(address), acceptTimeout);
     context.metrics.count(fmt::format("answers_cut_off_total{{server=\"{}\"}}", isRunning ? "running" : "ended"));
-    co_return !isRunning;
+    if (isRunning)
+        co_return false;
+    context.reach.connectFailed(service, hostId);
+    if (context.reach.isConfirmed(service, context.now()))
+        co_return true;
+    ReachVerdict verdict = co_await checkReach(context, service, hostId);
+    if (verdict == ReachVerdict::Reached) {
+        context.reach.connected(service, context.now());
+        co_return true;
+    }
+    asio::co_spawn(context.io, recordEndUnlessCutOff(context, std::move(hostId), std::move(service)),
+        loggingFailure(context.log, "recording the end of a server"));
+    co_return false;
 }
 
 // A server that drained ended as planned. One that still accepts connections has only lost the list.
@@ -63,7 +92,10 @@
         co_return;
     }
     bool isRunning = co_await context.pool.accepts(host.address, acceptTimeout);
-    if (!isRunning)
+    if (isRunning)
+        co_return;
+    ReachVerdict verdict = co_await checkReach(context, host.service);
+    if (verdict == ReachVerdict::Reached || context.nodesReaching(host.service).empty())
         recordServerEnd(context, host.id, ServerEndSign::Unreachable, {});
 }
 
--- a/src/gateway/serverends.h
+++ b/src/gateway/serverends.h
@@ -16,8 +16,9 @@
 void recordServerEnd(GatewayContext&, std::string_view hostId, ServerEndSign, std::string_view callId);
 
 // Whether the server, which closed a connection within an answer, has ended. It may have dropped this answer only; then
-// it accepts a new connection. So does its next process, which the list shows later.
-asio::awaitable<bool> hasServerEnded(GatewayContext&, std::string_view hostId, Address);
+// it accepts a new connection. So does its next process, which the list shows later. A node that reaches no server of
+// the service knows no more for now: it may have lost its own links.
+asio::awaitable<bool> hasServerEnded(GatewayContext&, std::string hostId, std::string service, Address);
 
 // Finds out why a server left the list, if requests had no answer from it: it may have ended under one of them.
 asio::awaitable<void> examineGoneHost(GatewayContext&, GoneHost);
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -42,6 +42,7 @@
         message.nodes = { stateOf(2), stateOf(3) };
         message.nodes[1].isSilent = true;
         message.nodes[1].isStopping = true;
+        message.nodes[0].cutOffServices = { "desk", "writers" };
         ReportedStatus reported;
         reported.hostId = "host-a";
         reported.status.ordersAccepted = 4;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -287,6 +287,31 @@
     EXPECT_EQ(request.count("Key") + request.count("X-Hop"), 0u);
 }
 
+// The next node authenticates and routes the call by itself, and must not pass it on again. No server sees the mark.
+TEST(PlatformCodec, RelaysACallAsItsCallerSentItWithAMark)
+{
+    RequestHead head;
+    head.method_string("POST");
+    head.target("/x/y?z=1");
+    for (auto [name, value] : std::initializer_list<std::pair<const char*, const char*>> {
+             { "Host", "a.example" }, { "Attempt-Id", "id-1" }, { "Key", "secret" }, { "Deadline-Ms", "8000" } })
+        head.insert(name, value);
+    SendParameters send;
+    send.timeLeft = Milliseconds(700);
+    send.lastEventId = "4";
+    send.earlierRuns = 1;
+    HttpRequest relayed = codec.relay(std::get<Call>(codec.call(head)), send);
+    EXPECT_EQ(relayed["Host"], "a.example");
+    EXPECT_EQ(relayed["Key"], "secret");
+    EXPECT_EQ(relayed["Deadline-Ms"], "700");
+    EXPECT_EQ(relayed["Last-Event-Id"], "4");
+    EXPECT_EQ(relayed.count("Target-Instance") + relayed.count("Tenant"), 0u);
+    Call received = std::get<Call>(codec.call(relayed));
+    EXPECT_TRUE(received.isRelayed);
+    EXPECT_EQ(received.earlierRuns, 1u);
+    EXPECT_EQ(codec.forward(received, send).count("Kumquatpick-Relayed"), 0u);
+}
+
 TEST(PlatformCodec, RequiresAnExplicitSignThatARequestDidNotRun)
 {
     ResponseHead head;
