RECOVER: judge the links by what was heard after the failure, and connect for a check only in silence

Found by reading the change: a success of up to half a second before a cut vouched for the links, so that the first stalls of a cut could still be told to others; and any two slow first tokens made a node connect to three servers twice a second, which is priced.

Now only what was heard or accepted after the failure counts, and silent servers cast doubt only while no server of the service is heard from. A broken connection waits 20 ms for a sign of another server before three are connected to.

--- a/src/fleet/serverreach.cpp
+++ b/src/fleet/serverreach.cpp
@@ -11,9 +11,12 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
-bool ServerReach::isDoubtful(const Reach& reach)
+bool ServerReach::isSilent(const Reach& reach, MonotonicTime now) { return now - reach.heardAt > silenceInDoubt; }
+
+bool ServerReach::isDoubtful(const Reach& reach, MonotonicTime now)
 {
-    return reach.isSuspected || std::max(reach.failedServers.size(), reach.silentServers) >= failuresInDoubt;
+    size_t silent = isSilent(reach, now) ? reach.silentServers : 0;
+    return reach.isSuspected || std::max(reach.failedServers.size(), silent) >= failuresInDoubt;
 }
 
 void ServerReach::recordSuccess(Reach& reach, MonotonicTime now)
@@ -32,6 +35,14 @@
     m_services[std::string(service)].failedServers.emplace(server);
 }
 
+void ServerReach::heardFrom(std::string_view service, MonotonicTime now)
+{
+    auto found = m_services.find(service);
+    if (found == m_services.end())
+        found = m_services.try_emplace(std::string(service)).first;
+    found->second.heardAt = now;
+}
+
 void ServerReach::setSilentServers(std::string_view service, size_t count)
 {
     if (count > 0 || m_services.contains(service))
@@ -47,7 +58,7 @@
         return false;
     if (reach->isCutOff)
         return now - reach->checkedAt >= returnPeriod;
-    return isDoubtful(*reach) && now - reach->checkedAt >= doubtPeriod;
+    return isDoubtful(*reach, now) && now - reach->checkedAt >= doubtPeriod;
 }
 
 void ServerReach::checkStarted(std::string_view service, MonotonicTime now)
@@ -73,10 +84,10 @@
     return reach && reach->isCutOff;
 }
 
-bool ServerReach::isConfirmed(std::string_view service, MonotonicTime now) const
+bool ServerReach::isReachedSince(std::string_view service, MonotonicTime since) const
 {
     const Reach* reach = find(service);
-    return reach && !reach->isCutOff && reach->reachedAt && now - *reach->reachedAt <= doubtPeriod;
+    return reach && std::max(reach->heardAt, reach->reachedAt) > since;
 }
 
 std::vector<std::string> ServerReach::cutOffServices() const
--- a/src/fleet/serverreach.h
+++ b/src/fleet/serverreach.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,6 +18,8 @@
 public:
     // Servers of a service that fail without one success in between cast doubt on this node's own links.
     static constexpr size_t failuresInDoubt = 2;
+    // A node that uses a service hears from some server of it more often.
+    static constexpr Milliseconds silenceInDoubt { 400 };
     // Between two checks while in doubt, and while cut off.
     static constexpr Milliseconds doubtPeriod { 500 };
     static constexpr Milliseconds returnPeriod { 250 };
@@ -27,7 +28,10 @@
     void connected(std::string_view service, MonotonicTime now);
     // A server did not accept a connection.
     void connectFailed(std::string_view service, std::string_view server);
-    // Servers that have calls of this node and have been silent for too long.
+    // Data of any server of the service arrived.
+    void heardFrom(std::string_view service, MonotonicTime now);
+    // Servers that have calls of this node and have been silent for too long. They cast doubt only while no server of
+    // the service is heard from.
     void setSilentServers(std::string_view service, size_t count);
 
     // Something else casts doubt on the links to the service.
@@ -40,8 +44,9 @@
     bool checkEnded(std::string_view service, bool isAnyReached, MonotonicTime now);
 
     bool isCutOff(std::string_view service) const;
-    // Whether a server of the service accepted a connection recently, so that failures of others are theirs.
-    bool isConfirmed(std::string_view service, MonotonicTime now) const;
+    // Whether a server of the service was heard from, or accepted a connection, after this time: what failed since then
+    // is not the links.
+    bool isReachedSince(std::string_view service, MonotonicTime) const;
     // Names, ordered.
     std::vector<std::string> cutOffServices() const;
     // Services of which any state is kept.
@@ -52,15 +57,17 @@
         std::set<std::string, std::less<>> failedServers; // Since the last success.
         size_t silentServers = 0;
         bool isSuspected = false;
+        MonotonicTime heardAt {};
         MonotonicTime checkedAt {};
-        std::optional<MonotonicTime> reachedAt;
+        MonotonicTime reachedAt {}; // A connection was accepted.
         bool isChecking = false;
         bool isCutOff = false;
     };
 
     static void recordSuccess(Reach&, MonotonicTime now);
     const Reach* find(std::string_view service) const;
-    static bool isDoubtful(const Reach&);
+    static bool isDoubtful(const Reach&, MonotonicTime now);
+    static bool isSilent(const Reach&, MonotonicTime now);
 
     std::map<std::string, Reach, std::less<>> m_services;
 };
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -140,6 +140,7 @@
     m_active->heardAt = m_context.now();
     if (!m_node.empty())
         return;
+    m_context.reach.heardFrom(m_service, m_context.now());
     m_context.balancer.dataArrived(m_hostId, m_context.now());
     m_context.suspicion.heardFrom(m_hostId, m_context.now());
 }
--- a/src/gateway/gatewayreach.cpp
+++ b/src/gateway/gatewayreach.cpp
@@ -9,19 +9,12 @@
 
 namespace Kumquatpick {
 
-namespace {
-
-    // A call whose server sent nothing for this long counts as silent. Two servers have to be silent at once.
-    constexpr Milliseconds silentTime { 400 };
-
-}
-
 void Gateway::checkLinks()
 {
     MonotonicTime now = m_context.now();
     std::map<std::string_view, std::set<std::string_view>> silentServers; // By service.
     for (const auto& call : m_context.calls) {
-        if (call->backend && !call->hostId.empty() && now - call->heardAt > silentTime)
+        if (call->backend && !call->hostId.empty() && now - call->heardAt > ServerReach::silenceInDoubt)
             silentServers[call->service].insert(call->hostId);
     }
     for (const std::string& service : m_context.reach.services()) {
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds maxTargetsPause { 300 };
     // For which a stalled replica gets no new calls.
     constexpr Milliseconds stalledAvoidance { 1500 };
+    // Replicas count as stalled after a longer silence.
+    constexpr Milliseconds shorterThanStall { 200 };
     // A call whose server has sent nothing for this long while this node is cut off.
     constexpr Milliseconds cutOffSilence { 250 };
     // While a replica stays stalled, the other nodes are told again before they use it again.
@@ -91,7 +93,7 @@
 bool Gateway::isReplicaAtFault(const std::string& hostId)
 {
     const Host* host = m_context.hosts.find(hostId);
-    if (!host || m_context.reach.isConfirmed(host->service, m_context.now()))
+    if (!host || m_context.reach.isReachedSince(host->service, m_context.now() - shorterThanStall))
         return true;
     m_context.reach.suspect(host->service);
     return false;
--- a/src/gateway/serverends.cpp
+++ b/src/gateway/serverends.cpp
@@ -17,6 +17,8 @@
 
     // A running host accepts within a round trip.
     constexpr Milliseconds acceptTimeout { 200 };
+    // In which a node that uses a service usually hears from another server of it.
+    constexpr Milliseconds otherServersTime { 20 };
     // In which the other nodes find out, and tell, that they do not reach a service either.
     constexpr Milliseconds reachReportDelay { 1000 };
 
@@ -63,12 +65,14 @@
 {
     if (context.suspicion.hasDied(hostId))
         co_return true;
+    MonotonicTime closedAt = context.now();
     bool isRunning = co_await context.pool.accepts(std::move(address), acceptTimeout);
     context.metrics.count(fmt::format("answers_cut_off_total{{server=\"{}\"}}", isRunning ? "running" : "ended"));
     if (isRunning)
         co_return false;
     context.reach.connectFailed(service, hostId);
-    if (context.reach.isConfirmed(service, context.now()))
+    co_await sleepFor(otherServersTime);
+    if (context.suspicion.hasDied(hostId) || context.reach.isReachedSince(service, closedAt))
         co_return true;
     ReachVerdict verdict = co_await checkReach(context, service, hostId);
     if (verdict == ReachVerdict::Reached) {
