RECOVER: do not send a call again that another node took

What callers saw: nothing yet; servers ran one call three times where its route allows two, when a node that is cut off sent it through another node, whose attempts all failed, and then through a third one.

Cause: the second node's attempts counted as one run at the first node. A node that took a call makes all attempts that its route allows, so its failure is final; the caller may repeat the call.

Test: OneCutOffNode.RunsNoCallOnMoreServersThanItsRouteAllows, 3 runs of 2 before.

--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -283,7 +283,9 @@
 
 bool CallForwarder::maySendAgain(SendOutcome outcome, MonotonicTime now)
 {
-    if (m_nodeRefusal)
+    // Another node that took the call has made all attempts that its route allows, or may have.
+    bool wasTakenByNode = !m_node.empty() && outcome != SendOutcome::NotRun;
+    if (m_nodeRefusal || wasTakenByNode)
         return false;
     if (outcome == SendOutcome::CallerBroken || m_active->cancelReason != CancelReason::None || now >= m_deadline)
         return false;
--- a/tests/platform/cutoffnode_test.cpp
+++ b/tests/platform/cutoffnode_test.cpp
@@ -36,11 +36,11 @@
 
     // Two nodes that reach all backend servers, and one that can be partitioned from them. Callers, the store and the
     // other nodes reach it all the while.
-    class CutOffNode : public testing::TestWithParam<FakeLinks::Mode> {
+    class OneCutOffNode : public testing::Test {
     protected:
         static constexpr int modelHosts = 12;
 
-        CutOffNode()
+        OneCutOffNode()
         {
             m_store.put("keyed.op", "config", exampleConfig(1, { "key-1" }).dump());
             for (int i = 0; i < modelHosts + 3; ++i) {
@@ -119,6 +119,8 @@
         int m_calls = 0;
     };
 
+    class CutOffNode : public OneCutOffNode, public testing::WithParamInterface<FakeLinks::Mode> { };
+
     std::string modeName(const testing::TestParamInfo<FakeLinks::Mode>& mode)
     {
         constexpr const char* names[] = { "Open", "Hanging", "Reset", "RefusingNew" };
@@ -159,6 +161,27 @@
     EXPECT_TRUE(eventually([&] { return isServing(*m_nodes[2]); })) << "after the cut";
 }
 
+// Guards against a call that two nodes try, each as often as its route allows.
+TEST_F(OneCutOffNode, RunsNoCallOnMoreServersThanItsRouteAllows)
+{
+    constexpr int maxAttempts = 2; // Of the example's routes.
+    ASSERT_TRUE(eventually([&] { return areAllServing(); }));
+    m_links.setMode(FakeLinks::Mode::Reset);
+    ASSERT_TRUE(eventually([&] { return isServing(*m_nodes[2]); }));
+    for (auto& host : m_hosts)
+        host->failsRequests = true;
+    httplib::Client client("127.0.0.1", m_nodes[2]->callers().port);
+    auto all = headers();
+    all.emplace("Attempt-Id", "failing");
+    auto answer = client.Post("/again/x", all, "hello", "text/plain");
+    EXPECT_TRUE(answer && answer->status == 500);
+    int runs = 0;
+    for (auto& host : m_hosts)
+        runs += host->runsById()["failing"];
+    EXPECT_GE(runs, 1);
+    EXPECT_LE(runs, maxAttempts);
+}
+
 INSTANTIATE_TEST_SUITE_P(CutModes, CutOffNode,
     testing::Values(FakeLinks::Mode::Hanging, FakeLinks::Mode::Reset, FakeLinks::Mode::RefusingNew), modeName);
 
