--- a/tests/fleet/crashingrequests_test.cpp
+++ b/tests/fleet/crashingrequests_test.cpp
@@ -24,6 +24,19 @@
             m_world.sendCrashing(crashingPerSecond, duration);
         }
 
+        // Domains of five servers end, again and again, while many callers send the same request.
+        void failDomains()
+        {
+            constexpr double hotShare = 0.3;
+            m_world.fleet.run(startTime);
+            m_world.sendHarmless(callsFor(GetParam()), Milliseconds(20'000), hotShare);
+            for (int failure = 0; failure < 4; ++failure) {
+                m_world.fleet.run(Milliseconds(4500));
+                m_world.endServers(5 * (failure % 3), 5);
+            }
+            m_world.fleet.run(Milliseconds(8000));
+        }
+
         void report(const char* name)
         {
             const auto& harmless = m_world.harmless();
@@ -124,14 +137,7 @@
 // servers ends at once, again and again, while many callers send the same request.
 TEST_P(CrashingRequestsAtSize, HarmlessOnesAreServedWhileDomainsFail)
 {
-    constexpr double hotShare = 0.3;
-    m_world.fleet.run(startTime);
-    m_world.sendHarmless(callsFor(GetParam()), Milliseconds(20'000), hotShare);
-    for (int failure = 0; failure < 4; ++failure) {
-        m_world.fleet.run(Milliseconds(4500));
-        m_world.endServers(5 * (failure % 3), 5);
-    }
-    m_world.fleet.run(Milliseconds(8000));
+    failDomains();
     report("domains fail");
     EXPECT_EQ(m_world.harmless().stopped, 0);
     EXPECT_LE(m_world.harmless().held * 1000, m_world.harmless().sent);
@@ -140,19 +146,12 @@
 // The same while servers end silently, and each node sends requests to them that never run.
 TEST_P(CrashingRequestsAtSize, HarmlessOnesAreServedWhileDomainsFallSilent)
 {
-    constexpr double hotShare = 0.3;
     m_world.endSilently();
-    m_world.fleet.run(startTime);
-    m_world.sendHarmless(callsFor(GetParam()), Milliseconds(20'000), hotShare);
-    for (int failure = 0; failure < 4; ++failure) {
-        m_world.fleet.run(Milliseconds(4500));
-        m_world.endServers(5 * (failure % 3), 5);
-    }
-    m_world.fleet.run(Milliseconds(8000));
+    failDomains();
     report("domains fall silent");
     // One that was sent to three silent servers can't be told from their cause.
     EXPECT_LE(m_world.harmless().stopped * 1000, m_world.harmless().sent);
-    EXPECT_LE(m_world.harmless().held * 100, m_world.harmless().sent);
+    EXPECT_LE(m_world.harmless().held * 1000, m_world.harmless().sent);
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, CrashingRequestsAtSize, testing::Values(6, 95, 985));
--- a/tests/platform/cutoffnode_test.cpp
+++ b/tests/platform/cutoffnode_test.cpp
@@ -137,7 +137,7 @@
     int joinsBefore = joins();
     Callers atCutNode(*m_nodes[2]);
     Callers atOther(*m_nodes[0]);
-    std::this_thread::sleep_for(500ms);
+    ASSERT_TRUE(eventually([&] { return atCutNode.served() > 30 && atOther.served() > 30; }));
     m_links.setMode(GetParam());
     std::this_thread::sleep_for(500ms);
     int servedAtOther = atOther.served();
