BUDGET: log the parts of prompts, and failing tests of a part that ends its servers

What callers saw: requests with one part in their prompts, no two alike, ended 86 servers one after the other; 18 to 38 sound requests a second were refused.

Cause: the guard knows whole requests only, and no line of a log named a prompt's parts. They are decoded once (Call::sharedPromptParts, without the last part), part of the lines request and send_ended, and handed to the guard, which ignores them yet.

--- a/src/fleet/suspicionfeed.cpp
+++ b/src/fleet/suspicionfeed.cpp
@@ -11,14 +11,24 @@
     // As long as a request stays stopped.
     constexpr std::chrono::minutes retention { 60 };
 
+    // Whether no death is left that counts.
+    bool isCleared(const SuspicionCount& count)
+    {
+        return count.kind == SuspectKind::Request ? count.clearedDeaths >= count.deaths : count.deathIds.empty();
+    }
+
     // Pointwise maximum. Returns whether the count grew.
     bool grow(SuspicionCount& known, const SuspicionCount& reported)
     {
         bool grows = reported.deaths > known.deaths || reported.clearedDeaths > known.clearedDeaths;
         known.deaths = std::max(known.deaths, reported.deaths);
         known.clearedDeaths = std::max(known.clearedDeaths, reported.clearedDeaths);
-        if (grows && reported.deathIds.size() > known.deathIds.size())
+        if (grows && known.kind != SuspectKind::Request) {
+            known.deathIds = reported.deathIds;
+            known.clearedIds = reported.clearedIds;
+        } else if (grows && reported.deathIds.size() > known.deathIds.size()) {
             known.deathIds = reported.deathIds;
+        }
         return grows;
     }
 
@@ -26,7 +36,7 @@
 
 bool SuspicionFeed::merge(const SuspicionCount& count, std::string_view source, MonotonicTime now)
 {
-    Key key { count.fingerprint, count.observer };
+    Key key { count.suspect(), count.observer };
     auto [found, isNew] = m_entries.try_emplace(key, Entry { count, {}, now, 0 });
     Entry& entry = found->second;
     if (!isNew && !grow(entry.count, count))
@@ -59,8 +69,8 @@
 {
     std::erase_if(m_entries, [&](const auto& item) {
         const Entry& entry = item.second;
-        bool isCleared = entry.count.clearedDeaths >= entry.count.deaths;
-        bool isExpired = now - entry.changedAt > (isCleared ? MonotonicTime::duration(clearedRetention) : retention);
+        bool isExpired
+            = now - entry.changedAt > (isCleared(entry.count) ? MonotonicTime::duration(clearedRetention) : retention);
         if (isExpired)
             m_changes.erase(entry.version);
         return isExpired;
--- a/src/fleet/suspicionfeed.h
+++ b/src/fleet/suspicionfeed.h
@@ -13,7 +13,7 @@
 
 namespace Kumquatpick {
 
-// Which nodes counted how many server deaths under which requests, passed from node to node by change. Counts only
+// Which nodes counted how many server deaths under which suspects, passed from node to node by change. Counts only
 // grow, so they may arrive late, more than once and in any order. Not thread-safe; does no I/O.
 class SuspicionFeed {
 public:
@@ -38,7 +38,7 @@
     size_t size() const { return m_entries.size(); }
 
 private:
-    using Key = std::pair<uint64_t, uint64_t>; // Fingerprint and observer.
+    using Key = std::pair<Suspect, uint64_t>; // With the observer.
     struct Entry {
         SuspicionCount count;
         std::string source;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -22,6 +22,9 @@
     std::string model; // Empty for services without models.
     uint32_t promptTokens = 0;
     uint32_t maxResponseTokens = 0;
+    // Ids of the parts of the prompt that other requests may share, in the order of the prompt, each once. The last
+    // part of a prompt is the request's own and not among them.
+    std::vector<uint64_t> sharedPromptParts;
     std::string lastEventId; // Last event of an earlier attempt that the caller has received; empty if none.
     std::optional<Milliseconds> timeout; // Time within which the caller needs the complete response.
     std::string body;
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -73,8 +73,10 @@
         co_await respond(notConfiguredResponse(http::status::unauthorized, "unknown API key"));
         co_return m_keepAlive;
     }
-    m_fingerprint = requestFingerprint(
+    m_suspects.fingerprint = requestFingerprint(
         { m_call.target, m_call.body, m_team ? std::string_view(m_team->name) : std::string_view(), m_call.host });
+    if (m_servesModels)
+        m_suspects.promptParts = m_call.sharedPromptParts;
     startDeadlineTimer();
     if (!fitsStop()) {
         co_await respond(refusalResponse(http::status::service_unavailable, "this node is stopping",
@@ -103,7 +105,7 @@
 {
     m_active->backend = nullptr;
     if (!m_active->hostId.empty()) {
-        m_context.suspicion.withdrawn(m_fingerprint, m_active->hostId);
+        m_context.suspicion.withdrawn(m_suspects, m_active->hostId);
         m_context.balancer.sendEnded(std::exchange(m_active->hostId, {}), SendResult::CallerGone, m_context.now());
     }
     releaseReservation();
@@ -185,7 +187,7 @@
         return m_context.balancer.choose({ m_service, m_call.model, hosts, queue }, now, m_context.random);
     };
     // Two suspects on one server would share its death.
-    std::vector<std::string> suspects = m_context.suspicion.replicasToAvoid(m_fingerprint, now);
+    std::vector<std::string> suspects = m_context.suspicion.replicasToAvoid(m_suspects, now);
     if (!suspects.empty()) {
         suspects.insert(suspects.end(), excluded.begin(), excluded.end());
         std::string hostId = choose(suspects);
@@ -203,7 +205,7 @@
     bool isThroughNode = mayUseNode();
     std::string other = isThroughNode ? std::string() : chooseHost(now, excluded, true);
     bool mayResume = !m_headForwarded || !m_context.disabledMechanisms.contains(Mechanism::Resume);
-    bool isSuspect = m_context.suspicion.verdict(m_fingerprint, now) != SuspicionVerdict::Clear;
+    bool isSuspect = m_context.suspicion.verdict(m_suspects, now) != SuspicionVerdict::Clear;
     ServerLeave verdict
         = mayLeaveServer({ mayRepeat() && mayResume, isSuspect, m_possibleRuns + 1, m_route->maxAttempts, m_sends,
             maxSends, m_context.retries.remainingRetries(m_service, now) >= 1, isThroughNode || !other.empty() });
@@ -227,13 +229,13 @@
 
 bool CallForwarder::isHeldAsSuspect()
 {
-    SuspicionVerdict verdict = m_context.suspicion.verdict(m_fingerprint, m_context.now());
+    SuspicionVerdict verdict = m_context.suspicion.verdict(m_suspects, m_context.now());
     m_isHeldAsSuspect = verdict != SuspicionVerdict::Clear;
     if (!m_isHeldAsSuspect)
         return false;
     bool isStopped = verdict == SuspicionVerdict::Stopped;
-    m_lastError = isStopped ? "backend servers ended while running this request"
-                            : "a backend server ended while running this request, and it is being tried again";
+    m_lastError = isStopped ? "backend servers ended while running this request, or others with a part of its prompt"
+                            : "a backend server ended while running such a request, and one is being tried again";
     m_context.metrics.count(
         fmt::format("requests_held_as_suspect_total{{reason=\"{}\"}}", isStopped ? "stopped" : "running"));
     return true;
@@ -389,7 +391,7 @@
             refusalResponse(http::status::service_unavailable, "deadline exceeded; the request was not run"));
     if (m_possibleRuns == 0) {
         Milliseconds retryAfter
-            = m_isHeldAsSuspect ? m_context.suspicion.retryAfter(m_fingerprint, m_context.now()) : retryAfterDelay();
+            = m_isHeldAsSuspect ? m_context.suspicion.retryAfter(m_suspects, m_context.now()) : retryAfterDelay();
         co_return co_await respond(refusalResponse(http::status::service_unavailable, m_lastError, retryAfter));
     }
     co_await respond(refusalResponse(isDeadlineExceeded ? http::status::gateway_timeout : http::status::bad_gateway,
@@ -408,7 +410,9 @@
     nlohmann::json fields { { "id", m_call.id }, { "route", route }, { "service", m_service },
         { "model", m_call.model }, { "outcome", outcome }, { "sends", m_sends }, { "runs", m_possibleRuns },
         { "events", m_eventStream.events() }, { "ms", 1000 * toSeconds(now - m_arrived) },
-        { "config", m_routes ? m_routes->version() : 0 }, { "fingerprint", fingerprintName(m_fingerprint) } };
+        { "config", m_routes ? m_routes->version() : 0 }, { "fingerprint", fingerprintName(m_suspects.fingerprint) } };
+    if (!m_suspects.promptParts.empty())
+        fields["prompt_parts"] = promptPartNames(m_suspects);
     if (m_team)
         fields["team"] = m_team->name;
     if (m_context.stopPlan)
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -104,7 +104,7 @@
     const Route* m_route = nullptr;
     const TeamSpec* m_team = nullptr;
     std::string m_service;
-    uint64_t m_fingerprint = 0; // The same for each attempt at this request, on each node.
+    RunSuspects m_suspects { 0 }; // The same for each attempt at this request, on each node.
     bool m_servesModels = false;
     bool m_isHeldAsSuspect = false;
     bool m_isCallerRetry = false; // Refused before, judged by its shorter timeout.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -101,7 +101,7 @@
             m_context.reach.connected(m_service, m_context.now());
         if (m_active->cancelReason == CancelReason::None) {
             m_active->backend = &connection->stream;
-            m_context.suspicion.dispatched(m_fingerprint, hostId, begun);
+            m_context.suspicion.dispatched(m_suspects, hostId, begun);
             outcome = co_await sendOver(*connection);
             m_active->backend = nullptr;
             co_await recordRunEnd(outcome, std::move(address));
@@ -126,7 +126,8 @@
         ++m_possibleRuns;
     if (outcome != SendOutcome::Answered) {
         m_context.log.writeRoutine("send_ended",
-            { { "id", m_call.id }, { "fingerprint", fingerprintName(m_fingerprint) }, { "host", hostId },
+            { { "id", m_call.id }, { "fingerprint", fingerprintName(m_suspects.fingerprint) },
+                { "prompt_parts", promptPartNames(m_suspects) }, { "host", hostId },
                 { "outcome", sendOutcomeNames[static_cast<size_t>(outcome)] },
                 { "stalled", m_active->left == LeaveReason::Stalled }, { "left", name(m_active->left) },
                 { "cancelled", name(m_active->cancelReason) }, { "problem", m_lastError },
@@ -143,6 +144,7 @@
     m_context.reach.heardFrom(m_service, m_context.now());
     m_context.balancer.dataArrived(m_hostId, m_context.now());
     m_context.suspicion.heardFrom(m_hostId, m_context.now());
+    m_context.suspicion.wrote(m_suspects, m_hostId, m_context.now());
 }
 
 void CallForwarder::recordBackendError(std::string_view step, const beast::error_code& error)
@@ -163,11 +165,11 @@
     if (hasEnded)
         recordServerEnd(m_context, m_hostId, ServerEndSign::ClosedConnection, m_call.id);
     else if (m_hasSucceeded)
-        suspicion.finished(m_fingerprint, m_hostId, m_context.now());
+        suspicion.finished(m_suspects, m_hostId, m_context.now());
     else if (outcome == SendOutcome::Broken || outcome == SendOutcome::CallerBroken)
-        suspicion.abandoned(m_fingerprint, m_hostId, m_context.now());
+        suspicion.abandoned(m_suspects, m_hostId, m_context.now());
     else
-        suspicion.withdrawn(m_fingerprint, m_hostId);
+        suspicion.withdrawn(m_suspects, m_hostId);
 }
 
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendOver(PeerConnection& connection)
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/limitfield.h"
+#include "gateway/serverends.h"
 
 #include <nlohmann/json.hpp>
 
@@ -43,9 +44,9 @@
     m_lease.observePeerTerm(m_peers.newestTerm());
     for (const HostFact& fact : received.newFacts)
         std::visit(ApplyFact { m_context, m_context.now() - fact.age }, fact.content);
-    for (uint64_t fingerprint : m_context.suspicion.merge(received.newSuspicions, m_context.now()))
-        m_context.log.write(
-            "request_stopped", { { "fingerprint", fingerprintName(fingerprint) }, { "reported_by", sender } });
+    for (const Suspect& suspect : m_context.suspicion.merge(received.newSuspicions, m_context.now()))
+        m_context.log.write(suspect.kind == SuspectKind::Request ? "request_stopped" : "prompt_part_stopped",
+            { { logField(suspect.kind), suspectName(suspect) }, { "reported_by", sender } });
     for (const HostRateLimit& limit : received.limits) {
         if (m_context.balancer.limits().applyPeerReport(limit, m_context.now()))
             m_context.log.write("server_limit",
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -147,10 +147,33 @@
         return count;
     }
 
+    json encodeSharedSuspicion(const SuspicionCount& count)
+    {
+        return json::array({ static_cast<int>(count.kind), count.fingerprint, count.observer, count.deaths,
+            count.clearedDeaths, count.depth, count.deathIds, count.clearedIds, count.detectionDelay.count() });
+    }
+
+    SuspicionCount decodeSharedSuspicion(const json& entry)
+    {
+        SuspicionCount count { entry.at(1).get<uint64_t>(), entry.at(2).get<uint64_t>(), entry.at(3).get<uint32_t>(),
+            entry.at(4).get<uint32_t>(), entry.at(6).get<std::vector<uint64_t>>() };
+        count.kind = static_cast<SuspectKind>(entry.at(0).get<uint8_t>());
+        count.depth = entry.at(5).get<uint32_t>();
+        count.clearedIds = entry.at(7).get<std::vector<uint64_t>>();
+        count.detectionDelay = decodeAge(entry.at(8));
+        return count;
+    }
+
     bool isPlausible(const SuspicionCount& count)
     {
-        return count.observer != 0 && std::max(count.deaths, count.clearedDeaths) <= maxDeaths
-            && count.deathIds.size() == std::min<size_t>(count.deaths, count.maxDeathIds);
+        if (count.observer == 0 || std::max(count.deaths, count.clearedDeaths) > maxDeaths)
+            return false;
+        if (count.kind == SuspectKind::Request)
+            return count.deathIds.size() == std::min<size_t>(count.deaths, SuspicionCount::maxDeathIds);
+        // Kinds that only later versions know say nothing here.
+        return count.kind == SuspectKind::PromptPart && count.depth <= SuspicionCount::maxDepth
+            && count.deathIds.size() <= std::min<size_t>(count.deaths, SuspicionCount::maxSharedDeathIds)
+            && count.clearedIds.size() <= std::min<size_t>(count.clearedDeaths, SuspicionCount::maxClearedIds);
     }
 
     json encodePosition(const FeedPosition& position)
@@ -211,6 +234,7 @@
         decodeAll(document, "limits", message.limits, decodeLimit);
         decodeAll(document, "facts", message.facts, decodeFact);
         decodeAll(document, "suspicions", message.suspicions, decodeSuspicion);
+        decodeAll(document, "shared_suspicions", message.suspicions, decodeSharedSuspicion);
         std::erase_if(message.suspicions, [](const SuspicionCount& count) { return !isPlausible(count); });
         decodeAll(document, "nodes", message.nodes, decodeState);
         std::erase_if(message.nodes, [](const NodeState& state) { return !isPlausible(state); });
@@ -250,7 +274,13 @@
             = json::array({ message.echo->incarnation, message.echo->at.count(), message.echo->heldFor.count() });
     encodeAll(document, "limits", message.limits, encodeLimit);
     encodeAll(document, "facts", message.facts, encodeFact);
-    encodeAll(document, "suspicions", message.suspicions, encodeSuspicion);
+    for (const SuspicionCount& count : message.suspicions) {
+        // Nodes of earlier versions ignore the second list.
+        if (count.kind == SuspectKind::Request)
+            document["suspicions"].push_back(encodeSuspicion(count));
+        else
+            document["shared_suspicions"].push_back(encodeSharedSuspicion(count));
+    }
     encodeAll(document, "nodes", message.nodes, encodeState);
     auto bytes = json::to_cbor(document);
     return { bytes.begin(), bytes.end() };
--- a/src/gateway/serverends.cpp
+++ b/src/gateway/serverends.cpp
@@ -31,6 +31,8 @@
 
 }
 
+const char* logField(SuspectKind kind) { return kind == SuspectKind::Request ? "fingerprint" : "prompt_part"; }
+
 void recordServerEnd(GatewayContext& context, std::string_view hostId, ServerEndSign sign, std::string_view callId)
 {
     MonotonicTime now = context.now();
@@ -40,12 +42,12 @@
         return;
     context.log.write("server_ended",
         { { "id", callId }, { "host", hostId }, { "sign", name(sign) }, { "suspects", suspects.size() } });
-    for (uint64_t fingerprint : suspects) {
-        uint32_t deaths = context.suspicion.deaths(fingerprint, now);
+    for (const Suspect& suspect : suspects) {
+        uint32_t deaths = context.suspicion.deaths(suspect, now);
         if (deaths > 1)
-            context.log.write("request_suspected",
-                { { "fingerprint", fingerprintName(fingerprint) }, { "host", hostId }, { "deaths", deaths },
-                    { "stopped", context.suspicion.verdict(fingerprint, now) == SuspicionVerdict::Stopped } });
+            context.log.write(suspect.kind == SuspectKind::Request ? "request_suspected" : "prompt_part_suspected",
+                { { logField(suspect.kind), suspectName(suspect) }, { "host", hostId }, { "deaths", deaths },
+                    { "stopped", context.suspicion.isStopped(suspect, now) } });
     }
 }
 
--- a/src/gateway/serverends.h
+++ b/src/gateway/serverends.h
@@ -11,6 +11,9 @@
 struct GatewayContext;
 struct GoneHost;
 
+// Name of the log field for suspects of a kind.
+const char* logField(SuspectKind);
+
 // Records the end of a backend server against the requests that may have been running there. The first call that
 // notices the end records it for all requests of this node. The call id is empty if no call noticed it.
 void recordServerEnd(GatewayContext&, std::string_view hostId, ServerEndSign, std::string_view callId);
--- a/src/suspicion/serverruns.cpp
+++ b/src/suspicion/serverruns.cpp
@@ -1,7 +1,8 @@
 #include "suspicion/serverruns.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
+#include <utility>
 
 namespace Kumquatpick {
 
@@ -13,49 +14,89 @@
     // What a server sent before it ended may be read this long after its connections were found closed.
     constexpr Milliseconds lastBytesDelay { 200 };
 
+    uint64_t fingerprintOf(const ServerRun& run) { return run.suspects.fingerprint; }
+
+    // Of several runs of one request, one that is not known to be sound.
+    std::vector<ServerRun> oneOfEachRequest(std::vector<ServerRun> runs)
+    {
+        auto rank = [](const ServerRun& run) { return std::pair(run.suspects.fingerprint, run.isSound()); };
+        std::ranges::stable_sort(runs, {}, rank);
+        auto repeated = std::ranges::unique(runs, {}, &fingerprintOf);
+        runs.erase(repeated.begin(), repeated.end());
+        return runs;
+    }
+
+}
+
+void ServerRuns::started(const RunSuspects& suspects, std::string_view server, MonotonicTime now)
+{
+    m_servers[std::string(server)].running.push_back({ .suspects = suspects, .startedAt = now });
+    countRunning(suspects, 1);
 }
 
-void ServerRuns::started(uint64_t fingerprint, std::string_view server, MonotonicTime now)
+void ServerRuns::countRunning(const RunSuspects& suspects, int change)
 {
-    m_servers[std::string(server)].running.push_back({ fingerprint, now, {} });
-    ++m_running[fingerprint];
+    auto count = [&](const Suspect& suspect) {
+        auto total = m_running.try_emplace(suspect).first;
+        total->second += change;
+        if (total->second == 0)
+            m_running.erase(total);
+    };
+    count({ SuspectKind::Request, suspects.fingerprint });
+    for (uint64_t part : suspects.promptParts)
+        count({ SuspectKind::PromptPart, part });
 }
 
-bool ServerRuns::takeRunning(Server& server, uint64_t fingerprint, Run& taken)
+std::optional<ServerRun> ServerRuns::takeRunning(Server& server, uint64_t fingerprint)
 {
-    auto found = std::ranges::find(server.running, fingerprint, &Run::fingerprint);
+    auto found = std::ranges::find(server.running, fingerprint, &fingerprintOf);
     if (found == server.running.end())
-        return false;
-    taken = *found;
+        return std::nullopt;
+    ServerRun run = std::move(*found);
     server.running.erase(found);
-    auto total = m_running.find(fingerprint);
-    if (!--total->second)
-        m_running.erase(total);
-    return true;
+    countRunning(run.suspects, -1);
+    return run;
 }
 
-void ServerRuns::ended(uint64_t fingerprint, std::string_view server)
+const ServerRun* ServerRuns::wrote(uint64_t fingerprint, std::string_view server, MonotonicTime now)
+{
+    auto known = m_servers.find(server);
+    if (known == m_servers.end())
+        return nullptr;
+    auto run = std::ranges::find(known->second.running, fingerprint, &fingerprintOf);
+    if (run == known->second.running.end())
+        return nullptr;
+    bool wasSound = run->isSound();
+    if (run->writingAt == MonotonicTime {})
+        run->writingAt = now;
+    run->wroteAt = now;
+    return run->isSound() && !wasSound ? &*run : nullptr;
+}
+
+std::optional<ServerRun> ServerRuns::ended(uint64_t fingerprint, std::string_view server)
 {
     auto found = m_servers.find(server);
     if (found == m_servers.end())
-        return;
-    Run run;
-    takeRunning(found->second, fingerprint, run);
+        return std::nullopt;
+    auto run = takeRunning(found->second, fingerprint);
     eraseIfIdle(server);
+    return run;
 }
 
 void ServerRuns::abandoned(uint64_t fingerprint, std::string_view server, MonotonicTime now)
 {
     auto found = m_servers.find(server);
-    Run run;
-    if (found == m_servers.end() || !takeRunning(found->second, fingerprint, run))
+    if (found == m_servers.end())
+        return;
+    auto run = takeRunning(found->second, fingerprint);
+    if (!run)
         return;
     auto& abandoned = found->second.abandoned;
-    std::erase_if(abandoned, [&](const Run& known) { return now - known.abandonedAt > abandonedRetention; });
+    std::erase_if(abandoned, [&](const ServerRun& known) { return now - known.abandonedAt > abandonedRetention; });
     if (abandoned.size() == maxAbandonedPerServer)
         abandoned.erase(abandoned.begin());
-    run.abandonedAt = now;
-    abandoned.push_back(run);
+    run->abandonedAt = now;
+    abandoned.push_back(std::move(*run));
 }
 
 // A server that answers anything has survived what was given up before.
@@ -65,39 +106,34 @@
     if (found == m_servers.end())
         return;
     found->second.heardAt = now;
-    std::erase_if(found->second.abandoned, [&](const Run& run) { return now - run.abandonedAt > lastBytesDelay; });
+    std::erase_if(
+        found->second.abandoned, [&](const ServerRun& run) { return now - run.abandonedAt > lastBytesDelay; });
 }
 
 bool ServerRuns::hasUnanswered(std::string_view server) const { return m_servers.contains(server); }
 
-std::vector<uint64_t> ServerRuns::takeBlamed(std::string_view name, ServerEndSign sign, MonotonicTime now)
+std::vector<ServerRun> ServerRuns::takeBlamed(std::string_view name, ServerEndSign sign, MonotonicTime now)
 {
     auto found = m_servers.find(name);
     if (found == m_servers.end())
         return {};
     const Server& server = found->second;
-    std::vector<Run> candidates;
+    std::vector<ServerRun> candidates;
     std::ranges::copy_if(server.abandoned, std::back_inserter(candidates),
-        [&](const Run& run) { return now - run.abandonedAt <= abandonedRetention; });
+        [&](const ServerRun& run) { return now - run.abandonedAt <= abandonedRetention; });
     // A closed connection shows that the run was in progress.
     bool wereInProgress = sign == ServerEndSign::ClosedConnection;
     if (!wereInProgress)
         std::ranges::copy(server.running, std::back_inserter(candidates));
     MonotonicTime silentSince = MonotonicTime::max();
-    for (const Run& run : candidates)
+    for (const ServerRun& run : candidates)
         silentSince = std::min(silentSince, run.startedAt);
     silentSince = std::max(silentSince, server.heardAt);
-    std::set<uint64_t> blamed;
-    for (const Run& run : candidates) {
-        if (run.startedAt <= silentSince + silentEndWindow)
-            blamed.insert(run.fingerprint);
-    }
-    if (wereInProgress) {
-        for (const Run& run : server.running)
-            blamed.insert(run.fingerprint);
-    }
+    std::erase_if(candidates, [&](const ServerRun& run) { return run.startedAt > silentSince + silentEndWindow; });
+    if (wereInProgress)
+        std::ranges::copy(server.running, std::back_inserter(candidates));
     forget(name);
-    return { blamed.begin(), blamed.end() };
+    return oneOfEachRequest(std::move(candidates));
 }
 
 void ServerRuns::forget(std::string_view name)
@@ -105,9 +141,8 @@
     auto found = m_servers.find(name);
     if (found == m_servers.end())
         return;
-    Run run;
-    while (!found->second.running.empty())
-        takeRunning(found->second, uint64_t(found->second.running.back().fingerprint), run);
+    for (const ServerRun& run : found->second.running)
+        countRunning(run.suspects, -1);
     m_servers.erase(found);
 }
 
--- a/src/suspicion/suspicion.cpp
+++ b/src/suspicion/suspicion.cpp
@@ -22,6 +22,19 @@
 
 std::string fingerprintName(uint64_t fingerprint) { return fmt::format("{:016x}", fingerprint); }
 
+std::string suspectName(const Suspect& suspect)
+{
+    return suspect.kind == SuspectKind::Request ? fingerprintName(suspect.id) : fmt::format("{:x}", suspect.id);
+}
+
+std::vector<std::string> promptPartNames(const RunSuspects& run)
+{
+    std::vector<std::string> names;
+    for (uint64_t part : run.promptParts)
+        names.push_back(suspectName({ SuspectKind::PromptPart, part }));
+    return names;
+}
+
 struct SuspicionTable::Impl {
     explicit Impl(uint64_t selfIncarnation)
         : state(selfIncarnation)
--- a/src/suspicion/suspicion.h
+++ b/src/suspicion/suspicion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "suspicion/suspect.h"
 
 #include <cstdint>
 #include <memory>
@@ -11,18 +12,32 @@
 
 namespace Kumquatpick {
 
-// The number of backend server deaths during requests with one fingerprint, as sent by gossip.
+// The backend server deaths that one node holds against one suspect, as sent to other nodes.
 struct SuspicionCount {
     static constexpr size_t maxDeathIds = 4;
 
-    uint64_t fingerprint = 0;
+    uint64_t fingerprint = 0; // Id of the suspect.
     uint64_t observer = 0; // Incarnation of the node that observed them; the counts of one observer never decrease.
     uint32_t deaths = 0;
-    // Deaths, over all observers, that were cleared by a normal end of such a request; never decreases.
+    // Of a request: deaths, over all observers, that were cleared by a normal end of it. Of other suspects: deaths that
+    // this observer has cleared. Never decreases.
     uint32_t clearedDeaths = 0;
-    // Identifies the first deaths, at most maxDeathIds, because a server's death is observed by each node that had such
-    // a request there. Deaths without an id are added up over the observers.
+    // Identifies deaths, because a server's death is observed by each node that had such a request there. Of a request:
+    // the first ones, at most maxDeathIds; deaths without an id are added up over the observers. Of other suspects: the
+    // ones that count, at most maxSharedDeathIds.
     std::vector<uint64_t> deathIds {};
+
+    // Only of suspects that different requests share.
+    static constexpr size_t maxSharedDeathIds = 8;
+    static constexpr size_t maxClearedIds = 16;
+    static constexpr uint32_t maxDepth = 64;
+
+    SuspectKind kind = SuspectKind::Request;
+    uint32_t depth = 0; // The deeper of two suspects is shared by fewer requests.
+    std::vector<uint64_t> clearedIds {}; // The latest ones, at most maxClearedIds.
+    Milliseconds detectionDelay {}; // From the latest death until the observer knew of it.
+
+    Suspect suspect() const { return { kind, fingerprint }; }
 };
 
 // What makes two requests the same one, sent again. Ids and keys of single attempts and deadlines are no part of it:
@@ -37,6 +52,9 @@
 uint64_t requestFingerprint(const RequestContent&);
 // As written in logs.
 std::string fingerprintName(uint64_t fingerprint);
+// A request by its fingerprint, a prompt part by its id as the caller wrote it.
+std::string suspectName(const Suspect&);
+std::vector<std::string> promptPartNames(const RunSuspects&);
 
 // Detects requests that crash each backend server that runs them. Thread-safe.
 class SuspicionTable {
--- a/src/suspicion/suspicionstate.cpp
+++ b/src/suspicion/suspicionstate.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace Kumquatpick {
@@ -21,7 +22,7 @@
 {
 }
 
-uint32_t SuspicionState::Suspect::totalDeaths() const
+uint32_t SuspicionState::Evidence::totalDeaths() const
 {
     std::set<uint64_t> identified;
     uint32_t unidentified = 0;
@@ -32,7 +33,7 @@
     return static_cast<uint32_t>(identified.size()) + unidentified;
 }
 
-uint32_t SuspicionState::Suspect::clearedDeaths() const
+uint32_t SuspicionState::Evidence::clearedDeaths() const
 {
     uint32_t most = 0;
     for (const auto& [observer, seen] : byObserver)
@@ -42,7 +43,7 @@
 
 // A stopped request that has aged keeps all but one of the deaths that stop it: it may run once, and another death
 // stops it again at once.
-uint32_t SuspicionState::countedDeaths(const Suspect& suspect, MonotonicTime now) const
+uint32_t SuspicionState::countedDeaths(const Evidence& suspect, MonotonicTime now) const
 {
     uint32_t total = suspect.totalDeaths();
     uint32_t cleared = suspect.clearedDeaths();
@@ -61,19 +62,37 @@
     return found == m_suspects.end() ? 0 : countedDeaths(found->second, now);
 }
 
-SuspicionVerdict SuspicionState::verdict(uint64_t fingerprint, MonotonicTime now) const
+uint32_t SuspicionState::deaths(const Suspect& suspect, MonotonicTime now) const
 {
-    uint32_t counted = deaths(fingerprint, now);
-    if (!counted)
-        return SuspicionVerdict::Clear;
-    if (counted >= m_settings.stopAfterDeaths)
+    return suspect.kind == SuspectKind::Request ? deaths(suspect.id, now) : 0;
+}
+
+bool SuspicionState::isStoppedRequest(uint64_t fingerprint, MonotonicTime now) const
+{
+    return deaths(fingerprint, now) >= m_settings.stopAfterDeaths;
+}
+
+bool SuspicionState::isStopped(const Suspect& suspect, MonotonicTime now) const
+{
+    return suspect.kind == SuspectKind::Request && isStoppedRequest(suspect.id, now);
+}
+
+SuspicionVerdict SuspicionState::requestVerdict(uint64_t fingerprint, MonotonicTime now) const
+{
+    if (isStoppedRequest(fingerprint, now))
         return SuspicionVerdict::Stopped;
-    return m_runs.isRunning(fingerprint) ? SuspicionVerdict::AlreadyRunning : SuspicionVerdict::Clear;
+    bool isRunning = m_runs.isRunning({ SuspectKind::Request, fingerprint });
+    return isRunning && deaths(fingerprint, now) > 0 ? SuspicionVerdict::AlreadyRunning : SuspicionVerdict::Clear;
+}
+
+SuspicionVerdict SuspicionState::verdict(const RunSuspects& run, MonotonicTime now) const
+{
+    return requestVerdict(run.fingerprint, now);
 }
 
-Milliseconds SuspicionState::retryAfter(uint64_t fingerprint, MonotonicTime now) const
+Milliseconds SuspicionState::retryAfter(const RunSuspects& run, MonotonicTime now) const
 {
-    switch (verdict(fingerprint, now)) {
+    switch (verdict(run, now)) {
     case SuspicionVerdict::Clear:
         return Milliseconds(0);
     case SuspicionVerdict::AlreadyRunning:
@@ -81,30 +100,37 @@
     case SuspicionVerdict::Stopped:
         break;
     }
-    auto since = now - m_suspects.at(fingerprint).latestGrowth;
+    auto since = now - m_suspects.at(run.fingerprint).latestGrowth;
     return std::chrono::ceil<Milliseconds>(m_settings.stopDuration - since);
 }
 
-std::vector<std::string> SuspicionState::replicasToAvoid(uint64_t fingerprint, MonotonicTime now) const
+std::vector<std::string> SuspicionState::replicasToAvoid(const RunSuspects& run, MonotonicTime now) const
 {
-    if (!deaths(fingerprint, now))
+    if (!deaths(run.fingerprint, now))
         return {};
-    return m_runs.serversRunning([&](uint64_t other) { return other != fingerprint && deaths(other, now); });
+    return m_runs.serversRunning([&](const RunSuspects& other) {
+        return other.fingerprint != run.fingerprint && deaths(other.fingerprint, now);
+    });
 }
 
-void SuspicionState::dispatched(uint64_t fingerprint, std::string_view replica, MonotonicTime now)
+void SuspicionState::dispatched(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
-    m_runs.started(fingerprint, replica, now);
+    m_runs.started(run, replica, now);
 }
 
-void SuspicionState::finished(uint64_t fingerprint, std::string_view replica, MonotonicTime now)
+void SuspicionState::wrote(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
-    m_runs.ended(fingerprint, replica);
+    m_runs.wrote(run.fingerprint, replica, now);
+}
+
+void SuspicionState::finished(const RunSuspects& run, std::string_view replica, MonotonicTime now)
+{
+    m_runs.ended(run.fingerprint, replica);
     m_runs.heardFrom(replica, now);
-    rememberNormalEnd(fingerprint, now);
-    auto found = m_suspects.find(fingerprint);
+    rememberNormalEnd(run.fingerprint, now);
+    auto found = m_suspects.find(run.fingerprint);
     if (found != m_suspects.end())
-        clearDeaths(fingerprint, found->second);
+        clearDeaths(run.fingerprint, found->second);
 }
 
 void SuspicionState::rememberNormalEnd(uint64_t fingerprint, MonotonicTime now)
@@ -124,7 +150,7 @@
     return found != m_normalEnds.end() && now - found->second < m_settings.harmlessDuration;
 }
 
-void SuspicionState::clearDeaths(uint64_t fingerprint, Suspect& suspect)
+void SuspicionState::clearDeaths(uint64_t fingerprint, Evidence& suspect)
 {
     uint32_t total = suspect.totalDeaths();
     if (total <= suspect.clearedDeaths())
@@ -133,11 +159,14 @@
     m_changed.insert(fingerprint);
 }
 
-void SuspicionState::withdrawn(uint64_t fingerprint, std::string_view replica) { m_runs.ended(fingerprint, replica); }
+void SuspicionState::withdrawn(const RunSuspects& run, std::string_view replica)
+{
+    m_runs.ended(run.fingerprint, replica);
+}
 
-void SuspicionState::abandoned(uint64_t fingerprint, std::string_view replica, MonotonicTime now)
+void SuspicionState::abandoned(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
-    m_runs.abandoned(fingerprint, replica, now);
+    m_runs.abandoned(run.fingerprint, replica, now);
 }
 
 // Of replicas whose names are used again, nodes that observed the same number of deaths compute the same id without
@@ -168,27 +197,31 @@
             std::ranges::min_element(m_deathCounts, {}, [](const auto& entry) { return entry.second.latest; }));
 }
 
-// Counts the death against every fingerprint that may have been running on the replica. If only an earlier suspect were
+// Counts the death against everything that may have been running on the replica. If only an earlier suspect were
 // blamed, a poison request that runs beside it would not be counted and could exceed the limit on deaths.
-std::vector<uint64_t> SuspicionState::replicaDied(std::string_view replica, MonotonicTime now, ServerEndSign sign)
+std::vector<Suspect> SuspicionState::replicaDied(std::string_view replica, MonotonicTime now, ServerEndSign sign)
 {
     // What was sent to a server that had died before never ran.
     bool isKnown = m_settings.namesAreUnique && hasDied(replica);
     uint64_t death = deathId(replica, now);
-    std::vector<uint64_t> blamed = m_runs.takeBlamed(replica, sign, now);
+    std::vector<ServerRun> blamed = m_runs.takeBlamed(replica, sign, now);
     if (isKnown)
         return {};
-    std::erase_if(blamed, [&](uint64_t fingerprint) { return isHarmless(fingerprint, now); });
-    for (uint64_t fingerprint : blamed)
-        countDeath(fingerprint, death, now);
-    return blamed;
+    std::set<Suspect> suspects;
+    for (const ServerRun& run : blamed) {
+        if (!isHarmless(run.suspects.fingerprint, now)) {
+            countDeath(run.suspects.fingerprint, death, now);
+            suspects.insert({ SuspectKind::Request, run.suspects.fingerprint });
+        }
+    }
+    return { suspects.begin(), suspects.end() };
 }
 
 void SuspicionState::countDeath(uint64_t fingerprint, uint64_t death, MonotonicTime now)
 {
     if (!m_suspects.contains(fingerprint))
         evictSuspects(now);
-    Suspect& suspect = m_suspects[fingerprint];
+    Evidence& suspect = m_suspects[fingerprint];
     ObservedDeaths& observed = suspect.byObserver[m_self];
     ++observed.deaths;
     if (observed.deathIds.size() < SuspicionCount::maxDeathIds)
@@ -238,35 +271,44 @@
     return counts;
 }
 
-// The counts of one observer never decrease, so the larger one is the newer one, in whatever order they arrive.
-std::vector<uint64_t> SuspicionState::merge(std::span<const SuspicionCount> counts, MonotonicTime now)
+std::vector<Suspect> SuspicionState::merge(std::span<const SuspicionCount> counts, MonotonicTime now)
 {
-    std::vector<uint64_t> stopped;
+    std::set<Suspect> running;
     for (const SuspicionCount& count : counts) {
-        if (!m_suspects.contains(count.fingerprint))
-            evictSuspects(now);
-        Suspect& suspect = m_suspects[count.fingerprint];
-        bool hasRoom = suspect.byObserver.size() < maxObservers || suspect.byObserver.contains(count.observer);
-        if (!hasRoom)
-            continue;
-        bool wasStopped = countedDeaths(suspect, now) >= m_settings.stopAfterDeaths;
-        ObservedDeaths& seen = suspect.byObserver[count.observer];
-        if (count.deaths > seen.deaths)
-            suspect.latestGrowth = std::max(suspect.latestGrowth, now);
-        seen.deaths = std::max(seen.deaths, count.deaths);
-        seen.clearedDeaths = std::max(seen.clearedDeaths, count.clearedDeaths);
-        for (uint64_t id : count.deathIds) {
-            if (seen.deathIds.size() < SuspicionCount::maxDeathIds)
-                seen.deathIds.insert(id);
-        }
-        if (isHarmless(count.fingerprint, now))
-            clearDeaths(count.fingerprint, suspect);
-        if (!wasStopped && countedDeaths(suspect, now) >= m_settings.stopAfterDeaths)
-            stopped.push_back(count.fingerprint);
+        if (!isStopped(count.suspect(), now))
+            running.insert(count.suspect());
+    }
+    for (const SuspicionCount& count : counts) {
+        if (count.kind == SuspectKind::Request)
+            mergeRequest(count, now);
     }
+    std::vector<Suspect> stopped;
+    std::ranges::copy_if(
+        running, std::back_inserter(stopped), [&](const Suspect& suspect) { return isStopped(suspect, now); });
     return stopped;
 }
 
+// The counts of one observer never decrease, so the larger one is the newer one, in whatever order they arrive.
+void SuspicionState::mergeRequest(const SuspicionCount& count, MonotonicTime now)
+{
+    if (!m_suspects.contains(count.fingerprint))
+        evictSuspects(now);
+    Evidence& suspect = m_suspects[count.fingerprint];
+    if (suspect.byObserver.size() >= maxObservers && !suspect.byObserver.contains(count.observer))
+        return;
+    ObservedDeaths& seen = suspect.byObserver[count.observer];
+    if (count.deaths > seen.deaths)
+        suspect.latestGrowth = std::max(suspect.latestGrowth, now);
+    seen.deaths = std::max(seen.deaths, count.deaths);
+    seen.clearedDeaths = std::max(seen.clearedDeaths, count.clearedDeaths);
+    for (uint64_t id : count.deathIds) {
+        if (seen.deathIds.size() < SuspicionCount::maxDeathIds)
+            seen.deathIds.insert(id);
+    }
+    if (isHarmless(count.fingerprint, now))
+        clearDeaths(count.fingerprint, suspect);
+}
+
 // Drops suspects whose deaths no longer count. If that is not enough, drops a quarter, those with the fewest counted
 // deaths, and of several the ones whose counts grew longest ago.
 void SuspicionState::evictSuspects(MonotonicTime now)
--- a/tests/platform/crashingrequests_test.cpp
+++ b/tests/platform/crashingrequests_test.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <list>
+#include <numeric>
+#include <thread>
 
 namespace Kumquatpick {
 
@@ -83,6 +85,21 @@
             }
         }
 
+        // Requests with the crashing part, no two alike, at all nodes in turn.
+        void sendCrashingPart(std::chrono::seconds duration)
+        {
+            auto end = std::chrono::steady_clock::now() + duration;
+            for (size_t i = 0; std::chrono::steady_clock::now() < end; ++i) {
+                httplib::Client client("127.0.0.1", m_nodes[i % m_nodes.size()]->callers().port);
+                auto all = headers();
+                all.emplace("Attempt-Id", fmt::format("part-{}", i));
+                all.emplace("Prompt-Prefix", fmt::format("cafe01:40,{}:20,{:x}:9", FakeHost::crashingPart, i));
+                auto answer = client.Post("/story/x", all, fmt::format("story {}", i), "text/plain");
+                ++m_statuses[answer ? answer->status : 0];
+                std::this_thread::sleep_for(60ms);
+            }
+        }
+
         std::vector<std::string> violations()
         {
             std::vector<FakeHost::CrashingArrival> arrivals;
@@ -173,4 +190,44 @@
         ADD_FAILURE() << violation;
 }
 
+class CrashingPromptPart : public CrashingRequests, public testing::WithParamInterface<FakeHost::CrashMode> { };
+
+// Guards against requests that are all different, but share a part of their prompts which ends each server that answers
+// them, and against sound requests of the same caller being refused for the parts that they share with these.
+TEST_P(CrashingPromptPart, IsStoppedAndOthersAreServed)
+{
+    constexpr int hosts = 20;
+    addHosts(hosts, false);
+    for (auto& host : m_hosts)
+        host->crashMode = GetParam();
+    startNodes(3);
+    ASSERT_TRUE(eventually([&] { return openHeads() == hosts / 2 && areAllServing("/story/x"); }));
+    auto soundHeaders = headers();
+    soundHeaders.emplace("Prompt-Prefix", "cafe01:40,beef02:12,77:9");
+    std::list<CallerThread> sound;
+    for (const auto& node : m_nodes)
+        sound.emplace_back(node->callers(), "/story/x", soundHeaders, Milliseconds(100));
+    auto total = [&](int (CallerThread::*count)() const) {
+        return std::accumulate(sound.begin(), sound.end(), 0,
+            [&](int sum, const CallerThread& caller) { return sum + (caller.*count)(); });
+    };
+    std::thread crashing([&] { sendCrashingPart(GetParam() == FakeHost::CrashMode::Silent ? 18s : 13s); });
+    // The bound on refusals holds from six seconds after the fifth end on.
+    std::this_thread::sleep_for(GetParam() == FakeHost::CrashMode::Silent ? 12s : 9s);
+    int sent = total(&CallerThread::sent);
+    int served = total(&CallerThread::served);
+    crashing.join();
+    sent = total(&CallerThread::sent) - sent;
+    served = total(&CallerThread::served) - served;
+    for (const std::string& violation : violations())
+        ADD_FAILURE() << violation;
+    EXPECT_GT(sent, 20);
+    EXPECT_GE(2 * served, sent) << "sound requests with the same first part";
+}
+
+INSTANTIATE_TEST_SUITE_P(CrashModes, CrashingPromptPart,
+    testing::Values(FakeHost::CrashMode::Refused, FakeHost::CrashMode::Silent, FakeHost::CrashMode::BackAtOnce,
+        FakeHost::CrashMode::BackAsAnother),
+    crashModeName);
+
 } // namespace Kumquatpick
--- a/tests/platform/noticerules.cpp
+++ b/tests/platform/noticerules.cpp
@@ -18,6 +18,7 @@
     constexpr auto drainTime = 2s;
     constexpr size_t maxDuringBackoff = 2;
     constexpr size_t crashesUntilStop = 3;
+    constexpr size_t crashesUntilPartStop = 5;
     constexpr size_t maxAfterStop = 3;
 
     std::string_view nodeOf(const FakeHost::Arrival& arrival)
@@ -90,18 +91,19 @@
 std::vector<std::string> crashViolations(std::vector<FakeHost::CrashingArrival> arrivals)
 {
     std::ranges::sort(arrivals, {}, &FakeHost::CrashingArrival::at);
-    std::map<std::string_view, std::vector<Time>> byBody;
+    std::map<std::string_view, std::vector<Time>> byCause; // By body, or by part.
     for (const auto& arrival : arrivals)
-        byBody[arrival.body].push_back(arrival.at);
+        byCause[arrival.hasPart ? std::string_view(FakeHost::crashingPart) : arrival.body].push_back(arrival.at);
     std::vector<std::string> violations;
-    for (const auto& [body, times] : byBody) {
-        if (times.size() < crashesUntilStop)
+    for (const auto& [cause, times] : byCause) {
+        size_t crashes = cause == FakeHost::crashingPart ? crashesUntilPartStop : crashesUntilStop;
+        if (times.size() < crashes)
             continue;
-        Time stopDue = times[crashesUntilStop - 1] + propagationTime;
+        Time stopDue = times[crashes - 1] + propagationTime;
         auto after = static_cast<size_t>(std::ranges::count_if(times, [&](Time at) { return at > stopDue; }));
         if (after > maxAfterStop)
             violations.push_back(
-                fmt::format("\"{}\" reached servers {} times after it should have been stopped", body, after));
+                fmt::format("\"{}\" reached servers {} times after it should have been stopped", cause, after));
     }
     return violations;
 }
--- a/tests/platform/noticerules.h
+++ b/tests/platform/noticerules.h
@@ -18,7 +18,7 @@
 // Requests from a node more than two seconds after it was told that the server drains.
 std::vector<std::string> drainViolations(std::span<const FakeHost::Arrival>);
 // More than three requests with one body over three seconds after a request with that body ended a server for the third
-// time. The arrivals are those at all servers.
+// time, or with the crashing part after the fifth time. The arrivals are those at all servers.
 std::vector<std::string> crashViolations(std::vector<FakeHost::CrashingArrival>);
 
 } // namespace Kumquatpick
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -47,6 +47,14 @@
         return records;
     }
 
+    bool hasCrashingPart(const httplib::Request& request)
+    {
+        std::string parts = request.get_header_value("Prompt-Prefix");
+        size_t lastPart = parts.rfind(',');
+        return lastPart != std::string::npos
+            && parts.substr(0, lastPart).find(FakeHost::crashingPart) != std::string::npos;
+    }
+
 }
 
 FakeHttpServer::FakeHttpServer()
@@ -431,7 +439,7 @@
         ++m_runsById[request.get_header_value("Attempt-Id")];
     }
     response.set_header("Response-Seal", "seal-" + m_options.id);
-    if (request.body.starts_with(crashingPrefix))
+    if (request.body.starts_with(crashingPrefix) || hasCrashingPart(request))
         return runCrashingRequest(request, response);
     if (!m_options.isPlain)
         return stream(request, response);
@@ -475,7 +483,7 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        m_crashingArrivals.push_back({ std::chrono::steady_clock::now(), request.body });
+        m_crashingArrivals.push_back({ std::chrono::steady_clock::now(), request.body, hasCrashingPart(request) });
     }
     switch (crashMode.load()) {
     case CrashMode::Refused:
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -139,6 +139,8 @@
     std::vector<Arrival> arrivals();
     // Requests with such bodies end the server that runs them.
     static constexpr const char* crashingPrefix = "crash";
+    // So do requests whose prompts have this part before their last one.
+    static constexpr const char* crashingPart = "dead5e1f";
     // How a server ends under such a request. In all cases its next process has the same address.
     enum class CrashMode : uint8_t {
         Refused, // Connections are closed, and new ones refused for a while.
@@ -150,6 +152,7 @@
     struct CrashingArrival {
         std::chrono::steady_clock::time_point at;
         std::string body;
+        bool hasPart = false; // The crashing part; its body is one of many.
     };
     std::vector<CrashingArrival> crashingArrivals();
     // Runs of requests by attempt id.
--- a/tests/suspicion/suspicion_test.cpp
+++ b/tests/suspicion/suspicion_test.cpp
@@ -274,7 +274,7 @@
     std::vector<SuspicionCount> reported;
     for (uint64_t observer = 2; observer < 1000; ++observer)
         reported.push_back({ 7, observer, 1, 0, { observer } });
-    EXPECT_EQ(state.merge(reported, start), std::vector<uint64_t> { 7 });
+    EXPECT_EQ(state.merge(reported, start), (std::vector<Suspect> { { SuspectKind::Request, 7 } }));
     EXPECT_EQ(state.deaths(7, start), SuspicionState::maxObservers);
 }
 
