BUDGET: stop parts of prompts that end their servers

What callers saw: 86 servers ended one after the other under requests that share one part of their prompts, and sound requests were refused for want of servers.

Cause: the guard's unit of blame was the whole request, and no two of these are alike. Class: a guard that knows one property of what it guards against. Now it has suspects of kinds (SuspectKind): whole requests as before, and what different requests share (SharedSuspects), with one exchange, one death id and one memory of runs. The next kind is an enumerator and one line that extracts it.

Why it works: a death counts against the parts of the runs that had not gone on for a second. A run that began to write after the death and went well clears them on all nodes; where such runs are frequent, the death is in doubt until the next one would have shown. Each death counts against one suspect only, the one with the most deaths and of several the deepest, so that a first part which a route shares is not stopped for the part behind it. What is stopped is tried once, by one node at a time, so that a mistake is undone.

Reports now carry how late the death was known.

Ruled out: harmlessness for what ended well lately (blind for a part that was sound), and clearing by first events (a server may end after some).

--- a/src/suspicion/suspicionstate.cpp
+++ b/src/suspicion/suspicionstate.cpp
@@ -13,12 +13,24 @@
     constexpr Milliseconds retryAfterWhileRunning { 2000 };
     constexpr Milliseconds duplicateDeathWindow { 5000 };
     constexpr size_t maxDeathCounts = 4096;
+    // Stopped requests age while nothing else changes.
+    constexpr Milliseconds stoppedRefreshPeriod { 50 };
+
+    // What the request shares with others, the deepest last.
+    std::vector<Suspect> sharedSuspects(const RunSuspects& run)
+    {
+        std::vector<Suspect> result;
+        for (uint64_t part : run.promptParts)
+            result.push_back({ SuspectKind::PromptPart, part });
+        return result;
+    }
 
 } // namespace
 
 SuspicionState::SuspicionState(uint64_t self, SuspicionSettings settings)
     : m_self(self)
     , m_settings(settings)
+    , m_shared(self, m_settings)
 {
 }
 
@@ -64,7 +76,9 @@
 
 uint32_t SuspicionState::deaths(const Suspect& suspect, MonotonicTime now) const
 {
-    return suspect.kind == SuspectKind::Request ? deaths(suspect.id, now) : 0;
+    if (suspect.kind == SuspectKind::Request)
+        return deaths(suspect.id, now);
+    return m_shared.deaths(suspect, stoppedRequests(now), now);
 }
 
 bool SuspicionState::isStoppedRequest(uint64_t fingerprint, MonotonicTime now) const
@@ -74,7 +88,9 @@
 
 bool SuspicionState::isStopped(const Suspect& suspect, MonotonicTime now) const
 {
-    return suspect.kind == SuspectKind::Request && isStoppedRequest(suspect.id, now);
+    if (suspect.kind == SuspectKind::Request)
+        return isStoppedRequest(suspect.id, now);
+    return m_shared.standing(suspect, stoppedRequests(now), now) == Standing::Stopped;
 }
 
 SuspicionVerdict SuspicionState::requestVerdict(uint64_t fingerprint, MonotonicTime now) const
@@ -85,9 +101,54 @@
     return isRunning && deaths(fingerprint, now) > 0 ? SuspicionVerdict::AlreadyRunning : SuspicionVerdict::Clear;
 }
 
+std::span<const SharedSuspects::StoppedRequest> SuspicionState::stoppedRequests(MonotonicTime now) const
+{
+    if (!m_stopped.isOutdated && now - m_stopped.at < stoppedRefreshPeriod)
+        return m_stopped.requests;
+    m_stopped = { {}, now, false };
+    for (const auto& [fingerprint, evidence] : m_suspects) {
+        if (countedDeaths(evidence, now) < m_settings.stopAfterDeaths)
+            continue;
+        std::set<uint64_t> deaths;
+        for (const auto& [observer, seen] : evidence.byObserver)
+            deaths.insert(seen.deathIds.begin(), seen.deathIds.end());
+        m_stopped.requests.push_back({ fingerprint, { deaths.begin(), deaths.end() } });
+    }
+    return m_stopped.requests;
+}
+
+SuspicionVerdict SuspicionState::sharedVerdict(const RunSuspects& run, MonotonicTime now) const
+{
+    if (run.promptParts.empty() || m_shared.isEmpty())
+        return SuspicionVerdict::Clear;
+    SuspicionVerdict worst = SuspicionVerdict::Clear;
+    std::vector<Suspect> shared = sharedSuspects(run);
+    auto stopped = stoppedRequests(now);
+    for (const Suspect& suspect : shared) {
+        Standing standing = m_shared.standing(suspect, stopped, now);
+        if (standing == Standing::Stopped)
+            return SuspicionVerdict::Stopped;
+        if (standing == Standing::Suspected && m_runs.isRunning(suspect))
+            worst = SuspicionVerdict::AlreadyRunning;
+    }
+    return worst;
+}
+
 SuspicionVerdict SuspicionState::verdict(const RunSuspects& run, MonotonicTime now) const
 {
-    return requestVerdict(run.fingerprint, now);
+    return std::max(requestVerdict(run.fingerprint, now), sharedVerdict(run, now));
+}
+
+bool SuspicionState::isSuspected(const RunSuspects& run, MonotonicTime now) const
+{
+    if (deaths(run.fingerprint, now) > 0)
+        return true;
+    if (run.promptParts.empty() || m_shared.isEmpty())
+        return false;
+    std::vector<Suspect> shared = sharedSuspects(run);
+    auto stopped = stoppedRequests(now);
+    return std::ranges::any_of(
+        shared, [&](const Suspect& suspect) { return m_shared.standing(suspect, stopped, now) != Standing::Clear; });
 }
 
 Milliseconds SuspicionState::retryAfter(const RunSuspects& run, MonotonicTime now) const
@@ -100,33 +161,50 @@
     case SuspicionVerdict::Stopped:
         break;
     }
-    auto since = now - m_suspects.at(run.fingerprint).latestGrowth;
-    return std::chrono::ceil<Milliseconds>(m_settings.stopDuration - since);
+    Milliseconds left {};
+    if (isStoppedRequest(run.fingerprint, now)) {
+        auto since = now - m_suspects.at(run.fingerprint).latestGrowth;
+        left = std::chrono::ceil<Milliseconds>(m_settings.stopDuration - since);
+    }
+    for (const Suspect& suspect : sharedSuspects(run)) {
+        if (isStopped(suspect, now))
+            left = std::max(left, m_shared.stopLeft(suspect, now));
+    }
+    return left;
 }
 
 std::vector<std::string> SuspicionState::replicasToAvoid(const RunSuspects& run, MonotonicTime now) const
 {
-    if (!deaths(run.fingerprint, now))
+    if (!isSuspected(run, now))
         return {};
-    return m_runs.serversRunning([&](const RunSuspects& other) {
-        return other.fingerprint != run.fingerprint && deaths(other.fingerprint, now);
-    });
+    return m_runs.serversRunning(
+        [&](const RunSuspects& other) { return other.fingerprint != run.fingerprint && isSuspected(other, now); });
 }
 
 void SuspicionState::dispatched(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
     m_runs.started(run, replica, now);
+    for (const Suspect& suspect : sharedSuspects(run))
+        m_shared.recordDispatch(suspect, now);
 }
 
 void SuspicionState::wrote(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
-    m_runs.wrote(run.fingerprint, replica, now);
+    const ServerRun* sound = m_runs.wrote(run.fingerprint, replica, now);
+    if (!sound)
+        return;
+    for (const Suspect& suspect : sharedSuspects(run))
+        m_shared.recordSoundRun(suspect, sound->begunAt(), now);
 }
 
 void SuspicionState::finished(const RunSuspects& run, std::string_view replica, MonotonicTime now)
 {
-    m_runs.ended(run.fingerprint, replica);
+    auto ended = m_runs.ended(run.fingerprint, replica);
     m_runs.heardFrom(replica, now);
+    if (ended) {
+        for (const Suspect& suspect : sharedSuspects(run))
+            m_shared.recordSoundRun(suspect, ended->begunAt(), now);
+    }
     rememberNormalEnd(run.fingerprint, now);
     auto found = m_suspects.find(run.fingerprint);
     if (found != m_suspects.end())
@@ -155,6 +233,7 @@
     uint32_t total = suspect.totalDeaths();
     if (total <= suspect.clearedDeaths())
         return;
+    m_stopped.isOutdated = true;
     suspect.byObserver[m_self].clearedDeaths = total;
     m_changed.insert(fingerprint);
 }
@@ -213,6 +292,14 @@
             countDeath(run.suspects.fingerprint, death, now);
             suspects.insert({ SuspectKind::Request, run.suspects.fingerprint });
         }
+        if (run.isSound())
+            continue;
+        MonotonicTime diedAt = run.abandonedAt == MonotonicTime {} ? now : run.abandonedAt;
+        uint32_t depth = 0;
+        for (const Suspect& suspect : sharedSuspects(run.suspects)) {
+            m_shared.recordDeath(suspect, depth++, death, diedAt, now);
+            suspects.insert(suspect);
+        }
     }
     return { suspects.begin(), suspects.end() };
 }
@@ -221,6 +308,7 @@
 {
     if (!m_suspects.contains(fingerprint))
         evictSuspects(now);
+    m_stopped.isOutdated = true;
     Evidence& suspect = m_suspects[fingerprint];
     ObservedDeaths& observed = suspect.byObserver[m_self];
     ++observed.deaths;
@@ -244,6 +332,7 @@
     }
     m_changed.clear();
     m_hasUrgentChanges = false;
+    std::ranges::move(m_shared.takeOwnChanges(), std::back_inserter(changes));
     return changes;
 }
 
@@ -281,6 +370,8 @@
     for (const SuspicionCount& count : counts) {
         if (count.kind == SuspectKind::Request)
             mergeRequest(count, now);
+        else
+            m_shared.merge(count, now);
     }
     std::vector<Suspect> stopped;
     std::ranges::copy_if(
@@ -293,6 +384,7 @@
 {
     if (!m_suspects.contains(count.fingerprint))
         evictSuspects(now);
+    m_stopped.isOutdated = true;
     Evidence& suspect = m_suspects[count.fingerprint];
     if (suspect.byObserver.size() >= maxObservers && !suspect.byObserver.contains(count.observer))
         return;
--- a/src/suspicion/suspicionstate.h
+++ b/src/suspicion/suspicionstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "suspicion/serverruns.h"
+#include "suspicion/sharedsuspects.h"
 #include "suspicion/suspect.h"
 #include "suspicion/suspicion.h"
 #include "suspicion/suspicionsettings.h"
@@ -23,7 +24,7 @@
 };
 
 // The guard against requests that end the servers which run them, deterministic for given events and times: the logic
-// of SuspicionTable. Not thread-safe.
+// of SuspicionTable. Suspects are whole requests, counted here, and what different requests share. Not thread-safe.
 class SuspicionState {
 public:
     static constexpr size_t maxSuspects = 4096;
@@ -67,12 +68,13 @@
     std::vector<SuspicionCount> counts() const;
     // Counts of this node that changed since the last call.
     std::vector<SuspicionCount> takeOwnChanges();
-    // Whether one of these changes should not wait: a request was running at the death of a second server.
-    bool hasUrgentChanges() const { return m_hasUrgentChanges; }
+    // Whether one of these changes should not wait: a request was running at the death of a second server, or something
+    // that many requests share at the death of any.
+    bool hasUrgentChanges() const { return m_hasUrgentChanges || m_shared.hasUrgentChanges(); }
     // Returns the suspects that became stopped.
     std::vector<Suspect> merge(std::span<const SuspicionCount>, MonotonicTime now);
 
-    size_t suspects() const { return m_suspects.size(); }
+    size_t suspects() const { return m_suspects.size() + m_shared.size(); }
 
 private:
     struct ObservedDeaths {
@@ -100,6 +102,10 @@
     void mergeRequest(const SuspicionCount&, MonotonicTime now);
     bool isStoppedRequest(uint64_t fingerprint, MonotonicTime now) const;
     SuspicionVerdict requestVerdict(uint64_t fingerprint, MonotonicTime now) const;
+    // Of what the request shares with others.
+    SuspicionVerdict sharedVerdict(const RunSuspects&, MonotonicTime now) const;
+    bool isSuspected(const RunSuspects&, MonotonicTime now) const;
+    std::span<const SharedSuspects::StoppedRequest> stoppedRequests(MonotonicTime now) const;
 
     // Deaths of one replica as observed by this node; repeated reports of the same death count once.
     struct DeathCount {
@@ -107,12 +113,20 @@
         MonotonicTime latest {};
     };
 
+    struct StoppedRequests {
+        std::vector<SharedSuspects::StoppedRequest> requests;
+        MonotonicTime at {};
+        bool isOutdated = true;
+    };
+
     uint64_t deathId(std::string_view replica, MonotonicTime now);
 
     uint64_t m_self;
     SuspicionSettings m_settings;
     std::map<std::string, DeathCount, std::less<>> m_deathCounts;
     std::unordered_map<uint64_t, Evidence> m_suspects; // By fingerprint.
+    mutable StoppedRequests m_stopped;
+    SharedSuspects m_shared;
     ServerRuns m_runs;
     std::unordered_map<uint64_t, MonotonicTime> m_normalEnds;
     std::set<uint64_t> m_changed; // Fingerprints whose own counts changed.
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -53,6 +53,11 @@
         message.facts = { { "node-1/4d", 1, Milliseconds(120), reported },
             { "node-1/4d", 2, Milliseconds(3), StalledHead { "host-b" } } };
         message.suspicions = { { 99, 77, 2, 0, { 5, 6 } }, { 100, 78, 6, 6, { 1, 2, 3, 4 } } };
+        message.suspicions.push_back({ 55, 77, 3, 1, { 7, 8 } });
+        message.suspicions.back().kind = SuspectKind::PromptPart;
+        message.suspicions.back().depth = 1;
+        message.suspicions.back().clearedIds = { 9 };
+        message.suspicions.back().detectionDelay = Milliseconds(40);
         message.sent = { 77, 12, 2, 3 };
         message.received = { 78, 40, 1, 4 };
         message.bucketHashes = NodeTable::BucketHashes { 1, 2, 3 };
@@ -84,8 +89,13 @@
     EXPECT_EQ(read->facts.at(0).content, message.facts[0].content);
     EXPECT_EQ(read->limits.at(1).perSecond, std::nullopt);
     EXPECT_EQ(read->received, message.received);
-    ASSERT_EQ(read->suspicions.size(), 2u);
+    ASSERT_EQ(read->suspicions.size(), 3u);
     EXPECT_EQ(read->suspicions[0].deathIds, message.suspicions[0].deathIds);
+    const SuspicionCount& shared = read->suspicions[2];
+    EXPECT_EQ(shared.suspect(), (Suspect { SuspectKind::PromptPart, 55 }));
+    EXPECT_EQ(shared.deathIds, message.suspicions[2].deathIds);
+    EXPECT_EQ(shared.clearedIds, message.suspicions[2].clearedIds);
+    EXPECT_EQ(shared.detectionDelay, Milliseconds(40));
 }
 
 // During a rolling replacement, nodes of an earlier version send and acknowledge no counts of server deaths.
@@ -93,6 +103,7 @@
 {
     json document = documentOf(fullMessage());
     document.erase("suspicions");
+    document.erase("shared_suspicions");
     document["received"].erase(3);
     document["sent"].erase(3);
     auto read = decoded(document);
@@ -113,6 +124,21 @@
     EXPECT_EQ(read->suspicions[0].fingerprint, 5u);
 }
 
+// The same for what requests share, and for kinds that only later versions know.
+TEST(NodeCodec, IgnoresSharedCountsThatNoNodeMade)
+{
+    NodeMessage message = fullMessage();
+    SuspicionCount valid = message.suspicions.back();
+    message.suspicions.assign(5, valid);
+    message.suspicions[1].kind = static_cast<SuspectKind>(9);
+    message.suspicions[2].deathIds.assign(4, 1);
+    message.suspicions[3].clearedIds.assign(2, 1);
+    message.suspicions[4].depth = 1000;
+    auto read = decodeNodeMessage(encode(message));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->suspicions.size(), 1u);
+}
+
 TEST(NodeCodec, SkipsWhatCannotBeDecoded)
 {
     json document = documentOf(fullMessage());
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -312,6 +312,28 @@
     EXPECT_EQ(codec.forward(received, send).count("Kumquatpick-Relayed"), 0u);
 }
 
+// A prompt's last part is the request's own. What cannot be read names no parts, and changes nothing else.
+TEST(PlatformCodec, ReadsThePartsOfAPrompt)
+{
+    auto partsOf = [](const std::string& prompt) {
+        RequestHead head;
+        head.method(http::verb::post);
+        head.target("/story/x");
+        head.set("Prompt-Prefix", prompt);
+        return std::get<Call>(codec.call(head)).sharedPromptParts;
+    };
+    using Parts = std::vector<uint64_t>;
+    EXPECT_EQ(partsOf("5c1e07a2:800,91bd3f06:410, e4402b7d:250"), (Parts { 0x5c1e07a2, 0x91bd3f06 }));
+    EXPECT_EQ(partsOf("5C:8,5c:8,1:1"), (Parts { 0x5c })) << "each once";
+    EXPECT_EQ(partsOf("0123456789abcdef0:1,2:2").size(), 1u) << "longer than a number";
+    for (const char* prompt : { "", "5c1e07a2:800", "what:1,2:2", "5c,2:2", ",,", ":1,2:2" })
+        EXPECT_EQ(partsOf(prompt), Parts()) << prompt;
+    std::string many;
+    for (int i = 0; i < 1000; ++i)
+        many += std::to_string(i) + ":1,";
+    EXPECT_TRUE(partsOf(many + "1:1").empty());
+}
+
 TEST(PlatformCodec, RequiresAnExplicitSignThatARequestDidNotRun)
 {
     ResponseHead head;
