--- a/src/suspicion/sharedsuspects.cpp
+++ b/src/suspicion/sharedsuspects.cpp
@@ -187,8 +187,11 @@
     while (!left.empty()) {
         auto worst = std::ranges::max_element(
             left, {}, [&](const Candidate& each) { return each.rank(m_assessment.explained); });
+        double unexplainedDeaths = worst->rank(m_assessment.explained).first;
+        if (unexplainedDeaths == 0)
+            break;
         const Charge& charge = worst->charge;
-        bool isCause = worst->rank(m_assessment.explained).first >= m_settings.stopAfterDeaths;
+        bool isCause = unexplainedDeaths >= m_settings.stopAfterDeaths;
         size_t unexplained = countUnexplained(charge.confirmed, m_assessment.explained);
         // What was there at many deaths that something else explains, and then at another one, is not there by chance.
         size_t needed = charge.confirmed.size() >= 2 * m_settings.stopAfterDeaths ? 1 : m_settings.stopAfterDeaths;
