Send nothing new to the backend servers of an evacuated zone

Each node now keeps which zones are evacuated, as of an offset of the operators' log. The nodes that read that log pass it on with the list of servers and in the messages between nodes; the state with the higher offset wins. Servers in such a zone get no first sends, retries, resumes or reserved places, and finish what they run. The controller forms no replicas there and replaces their capacity elsewhere. A request that cannot be read changes nothing.

--- a/src/fleet/nodemessage.h
+++ b/src/fleet/nodemessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/evacuations.h"
 #include "fleet/hostfact.h"
 #include "fleet/nodetable.h"
 #include "fleet/ratelimits.h"
@@ -43,6 +44,7 @@
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host; only in a full mesh.
     std::map<std::string, double, std::less<>> unmetDemand; // Slots, by model; only in a full mesh.
     std::vector<HostRateLimit> limits;
+    std::optional<EvacuationReport> evacuations; // Nothing if the sender knows of none.
     std::vector<NodeState> nodes;
     std::vector<HostFact> facts;
     std::vector<SuspicionCount> suspicions;
--- a/src/fleet/plannerinput.cpp
+++ b/src/fleet/plannerinput.cpp
@@ -1,14 +1,21 @@
 #include "fleet/plannerinput.h"
 
+#include <algorithm>
+
 namespace Kumquatpick {
 
 bool PlannerInput::isUsable(std::string_view hostId) const
 {
     const Host* host = hosts.find(hostId);
-    if (!host || host->draining)
+    if (!host || host->draining || isEvacuated(host->zone))
         return false;
     HostContact hostContact = contact(hostId);
     return hostContact == HostContact::Unknown || hostContact == HostContact::Reachable;
 }
 
+bool PlannerInput::isAnyEvacuated(std::span<const Host* const> members) const
+{
+    return std::ranges::any_of(members, [this](const Host* member) { return isEvacuated(member->zone); });
+}
+
 } // namespace Kumquatpick
--- a/src/fleet/plannerinput.h
+++ b/src/fleet/plannerinput.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,9 +38,13 @@
     DisabledMechanisms disabledMechanisms {};
     // Requests that all nodes have in flight at a host; as old as the other nodes' reports.
     std::function<uint32_t(std::string_view hostId)> inFlight = [](std::string_view) { return 0u; };
+    // Whether the operators want nothing new in the availability zone.
+    std::function<bool(std::string_view zone)> isEvacuated = [](std::string_view) { return false; };
 
-    // Whether the host is listed, not draining and not known to be unreachable.
+    // Whether the host is listed, in a zone that is not evacuated, not draining and not known to be unreachable.
     bool isUsable(std::string_view hostId) const;
+    // Whether any of the hosts is in an evacuated zone, so that their replica gets no new requests.
+    bool isAnyEvacuated(std::span<const Host* const> members) const;
 };
 
 // By model: the utilization of its replicas with one more, which is the value of the next replica.
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -431,12 +431,12 @@
     return tracked != m_trackedReplicas.end() && tracked->second.isDissolving;
 }
 
-// Open and not being dissolved.
+// Open, not being dissolved and not in an evacuated zone.
 bool ReplicaPlanner::isServing(const PlannerInput& input, const ReplicaView& replica) const
 {
     bool isOpen = replica.service == input.service.name && replica.head
         && replica.head->status.membership->state == MemberState::Open;
-    return isOpen && !isForming(replica) && !isDissolving(replica);
+    return isOpen && !isForming(replica) && !isDissolving(replica) && !input.isAnyEvacuated(replica.members);
 }
 
 std::map<std::string, uint32_t> ReplicaPlanner::replicasByModel(
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -77,7 +77,9 @@
         m_context.retries.recordFirstSend(m_service, begun);
     std::string hostId = m_hostId;
     const Host* host = m_context.hosts.find(hostId);
-    if (!host) {
+    // A reserved server may be in a zone that was evacuated since.
+    if (!host || m_context.evacuations.isEvacuated(host->zone)) {
+        m_hadConnection = false;
         releaseReservation();
         co_return SendOutcome::NotRun;
     }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/answertimes.h"
 #include "fleet/balancer.h"
+#include "fleet/evacuations.h"
 #include "fleet/hosttable.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
@@ -67,6 +68,7 @@
     std::shared_ptr<const RouteTable> routes; // nullptr until a configuration is received.
     std::string configText; // As stored; served to nodes that lack it.
     HostTable hosts;
+    Evacuations evacuations; // Zones whose backend servers get nothing new.
     ConnectionPool pool;
     Balancer balancer;
     RetryAllowance retries;
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -101,7 +101,8 @@
             return stalledHosts.contains(id) || isSuspectedHere;
         },
         !anyCallSeen, m_context.disabledMechanisms,
-        [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); } };
+        [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); },
+        [this](std::string_view zone) { return m_context.evacuations.isEvacuated(zone); } };
     auto orders = planner->plan(input);
     if (input.now - m_summaryAt >= summaryPeriod) {
         m_summaryAt = input.now;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,12 +39,18 @@
           { [this] { return ownReport(); },
               [this](
                   const NodeExchange::Received& received, std::string_view sender) { applyReceived(received, sender); },
-              [this](std::string_view text, std::string_view source) { adoptConfig(text, source); } })
+              [this](std::string_view text, std::string_view source) { adoptConfig(text, source); },
+              [this](const EvacuationReport& report, std::string_view source) {
+                  m_context.evacuations.applyReport(report, m_context.now());
+                  applyEvacuations(source);
+              } })
     , m_loads(m_context, m_peers)
     , m_lease(m_context, m_health, m_peers)
     , m_controller(m_context, m_lease, m_peers, m_loads)
     , m_configFollower(m_context, m_health, LogName::OperatorsConfig,
-          { LogReadTiming::forMaxDelay(settings.configWithin), Milliseconds(0), Milliseconds(0) }, configHandlers())
+          { LogReadTiming::forMaxDelay(std::min(settings.configWithin, settings.evacuateWithin)), Milliseconds(0),
+              Milliseconds(0) },
+          configHandlers())
     , m_hostFollower(m_context, m_health, LogName::BackendServers,
           { LogReadTiming(maxHostLongPoll), settings.hostReadPause(), settings.quietHostReadPause() }, hostHandlers())
     , m_callers(io, m_context.log, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
@@ -61,6 +67,7 @@
             batch->configVersion = m_context.routes ? m_context.routes->version() : 0;
             batch->storeUptime = std::chrono::floor<Milliseconds>(m_context.now() - m_health.servedSince());
             batch->configAge = std::chrono::ceil<Milliseconds>(configAge());
+            batch->evacuations = m_context.evacuations.report(m_context.now());
         }
         return batch;
     });
@@ -183,9 +190,17 @@
         bool isConfig = record.isReadable && record.value && m_context.platform.isConfigKey(record.key);
         if (isConfig)
             adoptConfig(*record.value, "store");
-        return isConfig;
+        return isConfig || applyEvacuationRecord(record);
     };
-    return { [] {}, applyRecord, [] {} };
+    return { [this] { m_context.evacuations.beginListing(); }, applyRecord,
+        [this] {
+            m_context.evacuations.endListing(m_configFollower.nextOffset(), m_context.now());
+            applyEvacuations("store");
+        },
+        [this] {
+            m_context.evacuations.advance(m_configFollower.nextOffset());
+            applyEvacuations("store");
+        } };
 }
 
 asio::awaitable<void> Gateway::runMaintenance()
@@ -214,6 +229,7 @@
                 m_context.balancer.backoffs().expire(m_context.now());
                 m_sessions.remove_if([](const auto& session) { return session.expired(); });
                 publishLoopMetrics();
+                publishEvacuations();
             }
         }
         refreshTargets();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,11 @@
     void removeHost(const std::string& name);
     void removeDueHosts();
     void examineGoneHosts();
+    bool applyEvacuationRecord(const LogRecord&);
+    void applyEvacuations(std::string_view source);
+    void logIgnoredEvacuation(const std::string& key, std::string_view problem);
+    void publishEvacuations();
+    bool isKnownZone(std::string_view zone) const;
     LogFollower::Handlers configHandlers();
     LogFollower::Handlers hostHandlers();
 
@@ -88,6 +93,9 @@
     std::list<std::weak_ptr<CallerSession>> m_sessions;
     std::set<std::string, std::less<>> m_listedNames; // Names of the hosts seen in the current listing.
     std::set<std::string, std::less<>> m_unreadableHosts; // Keys of entries that were logged as unreadable.
+    std::set<std::string, std::less<>> m_ignoredEvacuations; // Keys or zones of requests that were logged as ignored.
+    std::map<std::string, MonotonicTime, std::less<>> m_evacuatedZones; // As of m_evacuationsVersion.
+    uint64_t m_evacuationsVersion = 0; // That took effect last.
     // Entries, by key, whose service is missing from the configuration. They are kept because a later configuration may
     // have the service, and each entry is only read once.
     std::map<std::string, Host, std::less<>> m_hostsWithoutService;
@@ -98,6 +106,7 @@
     MonotonicTime::duration m_longestPause {}; // Since the process started.
     uint64_t m_targetsHostVersion = UINT64_MAX; // Versions from which the targets were computed.
     const RouteTable* m_targetsRoutes = nullptr;
+    uint64_t m_targetsEvacuations = 0;
     MonotonicTime m_nextTargets {}; // When the targets may be computed again.
     std::optional<MonotonicTime> m_loadsAppliedAt; // Reception of the loads that the balancer uses.
 };
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -33,11 +33,14 @@
 {
     MonotonicTime begunAt = m_context.now();
     if (!m_context.routes || begunAt < m_nextTargets
-        || (m_targetsHostVersion == m_context.hosts.version() && m_targetsRoutes == m_context.routes.get()))
+        || (m_targetsHostVersion == m_context.hosts.version() && m_targetsRoutes == m_context.routes.get()
+            && m_targetsEvacuations == m_context.evacuations.version()))
         return;
     LoopTime::Section section(m_context.loopTime, LoopPart::Targets);
     m_targetsHostVersion = m_context.hosts.version();
     m_targetsRoutes = m_context.routes.get();
+    m_targetsEvacuations = m_context.evacuations.version();
+    auto isEvacuated = [this](const Host& host) { return m_context.evacuations.isEvacuated(host.zone); };
     const FleetConfig& config = m_context.routes->config();
     std::vector<ServingTarget> targets;
     m_retiringHeads.clear();
@@ -51,13 +54,16 @@
             m_retiringHeads.insert(replica.head->id);
         if (!model || !isOpen || isLeaving || !replica.isComplete(model->hostsPerReplica))
             continue;
-        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone,
-            service->capacity > 0 ? service->capacity : replica.head->capacity, model->pace });
+        // Without capacity it gets nothing new, and what it runs is still watched.
+        uint32_t capacity = service->capacity > 0 ? service->capacity : replica.head->capacity;
+        if (std::ranges::any_of(replica.members, [&](const Host* member) { return isEvacuated(*member); }))
+            capacity = 0;
+        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone, capacity, model->pace });
     }
     for (const auto& [id, host] : m_context.hosts.hosts()) {
         const ServiceSpec* service = config.service(host.service);
         if (service && !service->servesModels() && !host.draining)
-            targets.push_back({ id, service->name, {}, host.zone, host.capacity, 1 });
+            targets.push_back({ id, service->name, {}, host.zone, isEvacuated(host) ? 0 : host.capacity, 1 });
     }
     m_context.balancer.setTargets(std::move(targets));
     MonotonicTime now = m_context.now();
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/nodecodec.h"
 
+#include "gateway/evacuationcodec.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -232,6 +234,13 @@
                 Milliseconds(echo.at(2).get<int64_t>()) };
         }
         decodeAll(document, "limits", message.limits, decodeLimit);
+        if (document.contains("evacuations")) {
+            try {
+                message.evacuations = decodeEvacuations(document["evacuations"]);
+            } catch (const json::exception&) {
+                message.evacuations.reset(); // The rest is of use without them.
+            }
+        }
         decodeAll(document, "facts", message.facts, decodeFact);
         decodeAll(document, "suspicions", message.suspicions, decodeSuspicion);
         decodeAll(document, "shared_suspicions", message.suspicions, decodeSharedSuspicion);
@@ -273,6 +282,8 @@
         document["echo"]
             = json::array({ message.echo->incarnation, message.echo->at.count(), message.echo->heldFor.count() });
     encodeAll(document, "limits", message.limits, encodeLimit);
+    if (message.evacuations)
+        document["evacuations"] = encodeEvacuations(*message.evacuations);
     encodeAll(document, "facts", message.facts, encodeFact);
     for (const SuspicionCount& count : message.suspicions) {
         // Nodes of earlier versions ignore the second list.
--- a/src/gateway/peerreads.cpp
+++ b/src/gateway/peerreads.cpp
@@ -21,10 +21,12 @@
 
 }
 
-PeerReads::PeerReads(GatewayContext& context, const Peers& peers, ApplyConfig applyConfig)
+PeerReads::PeerReads(
+    GatewayContext& context, const Peers& peers, ApplyConfig applyConfig, ApplyEvacuations applyEvacuations)
     : m_context(context)
     , m_peers(peers)
     , m_applyConfig(std::move(applyConfig))
+    , m_applyEvacuations(std::move(applyEvacuations))
     , m_listReaders(context.settings.peers.toString())
 {
 }
@@ -136,6 +138,8 @@
         if (isUsable) {
             m_listReaders.recordSuccess();
             m_configConfirmedAt = std::max(m_configConfirmedAt, m_context.now() - batch->configAge);
+            if (batch->evacuations)
+                m_applyEvacuations(*batch->evacuations, reader);
             m_catchUp.recordPeerVersion(reader, true, batch->configVersion, m_context.now());
             fetchNewerConfig();
             co_return LogFollower::PeerReadResult { std::move(*batch), isReader };
--- a/src/gateway/peerreads.h
+++ b/src/gateway/peerreads.h
@@ -21,10 +21,11 @@
 class PeerReads {
 public:
     using ApplyConfig = std::function<void(std::string_view text, std::string_view source)>;
+    using ApplyEvacuations = std::function<void(const EvacuationReport&, std::string_view source)>;
     // Provides the records that other nodes request with readHosts().
     using HostRecordSource = std::function<std::optional<RecordBatch>(uint64_t from)>;
 
-    PeerReads(GatewayContext&, const Peers&, ApplyConfig);
+    PeerReads(GatewayContext&, const Peers&, ApplyConfig, ApplyEvacuations);
 
     // Answers a request for records or for the configuration; nothing if it is neither.
     std::optional<HttpResponse> answer(const HttpRequest&);
@@ -58,6 +59,7 @@
     GatewayContext& m_context;
     const Peers& m_peers;
     ApplyConfig m_applyConfig;
+    ApplyEvacuations m_applyEvacuations;
     ConfigCatchUp m_catchUp;
     ListReaders m_listReaders;
     HostRecordSource m_hostRecordSource;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -40,7 +40,7 @@
     : m_context(context)
     , m_handlers(std::move(handlers))
     , m_exchange(ownState(), seedsOf(context.settings))
-    , m_reads(context, *this, m_handlers.applyConfig)
+    , m_reads(context, *this, m_handlers.applyConfig, m_handlers.applyEvacuations)
 {
 }
 
@@ -89,6 +89,7 @@
 void Peers::addOwnLoads(NodeMessage& message) const
 {
     message.limits = m_context.balancer.limits().recentLimits(m_context.now());
+    message.evacuations = m_context.evacuations.report(m_context.now());
     // In a larger fleet the load exchange carries them.
     if (!isFullMesh())
         return;
@@ -147,6 +148,9 @@
     const NodeState& sender = message.sender;
     if (!message.inFlight.empty() || !message.unmetDemand.empty() || m_peerLoads.contains(sender.address))
         m_peerLoads.insert_or_assign(sender.address, PeerLoad { message.inFlight, message.unmetDemand });
+    // Before any configuration of that node: a node that has just started sends nothing before it has one.
+    if (message.evacuations)
+        m_handlers.applyEvacuations(*message.evacuations, sender.name);
     m_reads.recordPeerVersion(sender.address, sender.zone, message.configVersion);
     m_handlers.applyReceived(received, sender.name);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,6 +21,7 @@
         std::function<NodeExchange::OwnReport()> ownReport;
         std::function<void(const NodeExchange::Received&, std::string_view sender)> applyReceived;
         PeerReads::ApplyConfig applyConfig;
+        PeerReads::ApplyEvacuations applyEvacuations;
     };
 
     Peers(GatewayContext&, Handlers);
--- a/src/gateway/platform.h
+++ b/src/gateway/platform.h
@@ -67,6 +67,11 @@
     // Contents of the store.
     virtual bool isConfigKey(std::string_view key) const = 0;
     virtual Settled<FleetConfig> config(std::string_view text) const = 0;
+    // The zone of a key that requests its evacuation while it exists; empty if the key names none. Nothing for other
+    // keys.
+    virtual std::optional<std::string> evacuatedZone(std::string_view key) const = 0;
+    // Why the value of such a key is no request.
+    virtual std::optional<Error> evacuationProblem(std::string_view text) const = 0;
     // An entry of another writer with missing, mistyped or unknown fields is Malformed.
     virtual Settled<Host> host(std::string_view name, std::string_view text) const = 0;
 
--- a/src/gateway/recordfeed.cpp
+++ b/src/gateway/recordfeed.cpp
@@ -1,5 +1,7 @@
 #include "gateway/recordfeed.h"
 
+#include "gateway/evacuationcodec.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -100,9 +102,12 @@
             entry["bad"] = true;
         records.push_back(std::move(entry));
     }
-    auto bytes = json::to_cbor(json { { "records", std::move(records) }, { "next", batch.nextOffset },
-        { "age_ms", batch.age.count() }, { "list", batch.isListing }, { "config", batch.configVersion },
-        { "config_age_ms", batch.configAge.count() }, { "served_ms", batch.storeUptime.count() } });
+    json document { { "records", std::move(records) }, { "next", batch.nextOffset }, { "age_ms", batch.age.count() },
+        { "list", batch.isListing }, { "config", batch.configVersion }, { "config_age_ms", batch.configAge.count() },
+        { "served_ms", batch.storeUptime.count() } };
+    if (batch.evacuations)
+        document["evacuations"] = encodeEvacuations(*batch.evacuations);
+    auto bytes = json::to_cbor(document);
     return { bytes.begin(), bytes.end() };
 }
 
@@ -117,6 +122,8 @@
         batch.configVersion = document.at("config").get<uint64_t>();
         batch.configAge = Milliseconds(document.at("config_age_ms").get<int64_t>());
         batch.storeUptime = Milliseconds(document.at("served_ms").get<int64_t>());
+        if (document.contains("evacuations"))
+            batch.evacuations = decodeEvacuations(document["evacuations"]);
         for (const auto& entry : document.at("records")) {
             LogRecord record;
             record.key = text(entry.at("k"));
--- a/src/gateway/recordfeed.h
+++ b/src/gateway/recordfeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/evacuations.h"
 #include "gateway/platform.h"
 
 #include <deque>
@@ -21,6 +22,7 @@
     bool isListing = false; // The records are the newest of all keys; other keys do not exist.
     uint64_t configVersion = 0; // Version that the reader has.
     Milliseconds configAge {}; // Time since the reader last confirmed which version is the newest.
+    std::optional<EvacuationReport> evacuations; // What the reader knows of evacuated zones.
     Milliseconds storeUptime {}; // Time since the store resumed serving the reader; entries may have expired before.
 };
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -90,6 +90,11 @@
                         .help = "from the acceptance of a host's leaving until no node sends it work",
                         .lowest = 100,
                         .fraction = Fraction::RoundedDown },
+                    { .flag = "evacuate-within-ms",
+                        .into = &s.evacuateWithin,
+                        .help = "from the request to evacuate a zone until its servers get nothing new",
+                        .lowest = 100,
+                        .fraction = Fraction::RoundedDown },
                     { .flag = "heartbeat-ms",
                         .into = &s.heartbeat,
                         .help = "time between two writes of a host's entry",
@@ -148,12 +153,15 @@
     return result;
 }
 
-Milliseconds GatewaySettings::hostReadPause() const { return std::min(leaveWithin / 5, usualHostReadPause); }
+Milliseconds GatewaySettings::hostReadPause() const
+{
+    return std::min(std::min(leaveWithin, evacuateWithin) / 5, usualHostReadPause);
+}
 
 // A leaving host's record passes a reader and the node that reads from it, and both wait once.
 Milliseconds GatewaySettings::quietHostReadPause() const
 {
-    return std::max(hostReadPause(), std::min(leaveWithin / 8, maxHostReadPause));
+    return std::max(hostReadPause(), std::min(std::min(leaveWithin, evacuateWithin) / 8, maxHostReadPause));
 }
 
 Milliseconds GatewaySettings::maxHostListAge() const { return std::max(minMaxListAge, leaveWithin * 2 / 5); }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -28,6 +28,7 @@
     Milliseconds stopGrace { 8000 }; // From SIGTERM until the process is killed.
     Milliseconds configWithin { 2000 }; // From the acceptance of a configuration until it is in force here.
     Milliseconds leaveWithin { 2000 }; // From the acceptance of a host's leaving until it gets no more work.
+    Milliseconds evacuateWithin { 5000 }; // From the request to evacuate a zone until it gets nothing new.
     Milliseconds heartbeat { 1200 }; // Between two writes of a host's entry in the list of backend servers.
     Milliseconds entriesLifetime { 1000 }; // How long callers may use a list of nodes.
     std::string retryRatio = "0.2"; // Share of first sends; decimal.
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -155,8 +155,8 @@
     m_handlers.beginListing();
     for (const LogRecord& record : records)
         m_handlers.record(record);
-    m_handlers.endListing();
     m_nextOffset = nextOffset;
+    m_handlers.endListing();
     m_feed.replaceAll(records, m_nextOffset, readAt);
     m_isListed = true;
     m_hadNews = true;
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -28,13 +28,14 @@
             wantedReplicas[model.name] = 10;
     }
 
-    void addHost(const std::string& id, const std::string& domain)
+    void addHost(const std::string& id, const std::string& domain, const std::string& zone = {})
     {
         Host host;
         host.id = id;
         host.service = service.name;
         host.address = { "10.0.0.1", static_cast<uint16_t>(1000 + table.hosts().size()) };
         host.status.domain = domain;
+        host.zone = zone;
         table.applyListEntry(host, now);
     }
 
@@ -51,7 +52,8 @@
                 [this](std::string_view id) {
                     auto found = inFlight.find(id);
                     return found == inFlight.end() ? 0u : found->second;
-                } };
+                },
+                [this](std::string_view zone) { return evacuatedZones.contains(zone); } };
             for (const HostOrder& order : planner.plan(input)) {
                 orders.push_back(order);
                 planner.orderEnded(order, handleOrder(order), now);
@@ -166,6 +168,7 @@
     std::map<std::string, double, std::less<>> wantedReplicas;
     std::map<std::string, HostContact> contacts;
     std::set<std::string> stalledHeads;
+    std::set<std::string, std::less<>> evacuatedZones;
     std::map<std::string, uint32_t, std::less<>> inFlight; // Requests by host.
     std::set<std::string, std::less<>> nonReportingHosts; // Listed hosts that do not report.
     std::map<std::string, uint64_t, std::less<>> ordersAccepted; // As counted by the hosts.
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -39,6 +39,7 @@
         message.inFlight = { { "host-a", 3 } };
         message.unmetDemand = { { "large", 1.5 } };
         message.limits = { { "host-a", 1.5, Milliseconds(40) }, { "host-b", std::nullopt, Milliseconds(50) } };
+        message.evacuations = EvacuationReport { 12, { { "zone-a", Milliseconds(700) } } };
         message.nodes = { stateOf(2), stateOf(3) };
         message.nodes[1].isSilent = true;
         message.nodes[1].isStopping = true;
@@ -89,6 +90,10 @@
     EXPECT_EQ(read->facts.at(0).content, message.facts[0].content);
     EXPECT_EQ(read->limits.at(1).perSecond, std::nullopt);
     EXPECT_EQ(read->received, message.received);
+    ASSERT_TRUE(read->evacuations);
+    EXPECT_EQ(read->evacuations->asOf, 12u);
+    EXPECT_EQ(read->evacuations->zones.at(0).zone, "zone-a");
+    EXPECT_EQ(read->evacuations->zones.at(0).age, Milliseconds(700));
     ASSERT_EQ(read->suspicions.size(), 3u);
     EXPECT_EQ(read->suspicions[0].deathIds, message.suspicions[0].deathIds);
     const SuspicionCount& shared = read->suspicions[2];
@@ -145,12 +150,14 @@
     document["nodes"][0] = "garbage";
     document["facts"][0][2] = json::array({ true, 7 });
     document["limits"][0] = 9;
+    document["evacuations"] = json::array({ "never", 3 });
     auto read = decoded(document);
     ASSERT_TRUE(read);
     ASSERT_EQ(read->nodes.size(), 1u);
     EXPECT_EQ(read->nodes[0].name, "node-3");
     ASSERT_EQ(read->facts.size(), 1u);
     ASSERT_EQ(read->limits.size(), 1u);
+    EXPECT_FALSE(read->evacuations);
 }
 
 // A peer of a later version, or one that sends nonsense, is not believed in part.
--- a/tests/gateway/recordfeed_test.cpp
+++ b/tests/gateway/recordfeed_test.cpp
@@ -116,4 +116,17 @@
     decodeRecordBatch(value);
 }
 
+// Guards against a reader that knows of an evacuation and a node that reads through it and does not.
+TEST(RecordFeed, CarriesEvacuatedZones)
+{
+    RecordBatch batch;
+    batch.evacuations = EvacuationReport { 12, { { "zone-a", Milliseconds(700) } } };
+    auto read = decodeRecordBatch(encode(batch));
+    ASSERT_TRUE(read && read->evacuations);
+    EXPECT_EQ(read->evacuations->asOf, 12u);
+    ASSERT_EQ(read->evacuations->zones.size(), 1u);
+    EXPECT_EQ(read->evacuations->zones[0].zone, "zone-a");
+    EXPECT_FALSE(decodeRecordBatch(encode(RecordBatch {}))->evacuations);
+}
+
 } // namespace Kumquatpick
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -73,6 +73,7 @@
     EXPECT_EQ(accepted("stop-grace-s", "8").stopGrace, Milliseconds(8000));
     EXPECT_EQ(accepted("config-within-ms", "2000.9").configWithin, Milliseconds(2000));
     EXPECT_EQ(accepted("leave-within-ms", "1333.3").leaveWithin, Milliseconds(1333));
+    EXPECT_EQ(accepted("evacuate-within-ms", "5000.5").evacuateWithin, Milliseconds(5000));
     EXPECT_EQ(accepted("heartbeat-ms", "1200.1").heartbeat, Milliseconds(1201));
     EXPECT_DOUBLE_EQ(accepted("retry-ratio", "1.5").retryLimits().ratio, 1.5);
 }
@@ -84,6 +85,7 @@
         { "stop-grace-s", "a number of seconds, at least 0" },
         { "heartbeat-ms", "a number of milliseconds, at least 1" },
         { "config-within-ms", "a number of milliseconds, at least 100" },
+        { "evacuate-within-ms", "a number of milliseconds, at least 100" },
         { "retry-ratio", "a number, at least 0" },
     };
     for (const auto& [flag, allowed] : expected) {
@@ -100,8 +102,8 @@
 // Whatever whole number or fraction the platform gives for one of its limits, the process starts.
 RC_GTEST_PROP(GatewaySettingsProperty, StartsWithAnyProperLimit, ())
 {
-    std::string flag = *rc::gen::element<std::string>(
-        "retry-allowance", "retry-window-s", "stop-grace-s", "config-within-ms", "leave-within-ms", "heartbeat-ms");
+    std::string flag = *rc::gen::element<std::string>("retry-allowance", "retry-window-s", "stop-grace-s",
+        "config-within-ms", "leave-within-ms", "evacuate-within-ms", "heartbeat-ms");
     int whole = *rc::gen::inRange(100, 1'000'000);
     int digits = *rc::gen::inRange(0, 1'000'000);
     std::string value = fmt::format("{}.{}", whole, digits);
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -336,7 +336,7 @@
     if (forList) {
         result["service"] = m_options.service;
         result["address"] = address().toString();
-        result["zone"] = "z1";
+        result["zone"] = m_options.zone;
         result["capacity"] = 4;
         result["version"] = "v1";
         result["warmupLeftMs"] = 0;
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -108,6 +108,7 @@
         std::string domain;
         bool isPlain = false;
         size_t threads = 24; // Streams at once.
+        std::string zone = "z1";
     };
 
     FakeHost(FakeStore&, Options);
