--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -165,6 +165,34 @@
     target.heardAt = now;
 }
 
+void Balancer::streamProgressed(std::string_view hostId, MonotonicTime now)
+{
+    auto found = m_targets.find(hostId);
+    if (found != m_targets.end())
+        found->second.progressedAt = now;
+}
+
+std::vector<std::string> Balancer::suspectedTargets(MonotonicTime now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, target] : m_targets) {
+        if (target.avoidUntil > now)
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::map<std::string, MonotonicTime, std::less<>> Balancer::progressSince(MonotonicTime since) const
+{
+    std::map<std::string, MonotonicTime, std::less<>> result;
+    for (const auto& [id, target] : m_targets) {
+        bool isStreaming = target.progressedAt != MonotonicTime {} && !target.serving.model.empty();
+        if (isStreaming && target.progressedAt >= since)
+            result.emplace(id, target.progressedAt);
+    }
+    return result;
+}
+
 bool Balancer::hasHeardFrom(std::string_view hostId, MonotonicTime since) const
 {
     auto found = m_targets.find(hostId);
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -60,6 +60,8 @@
     void sendStarted(std::string_view hostId, MonotonicTime now);
     // A stream event or the head of an answer arrived.
     void dataArrived(std::string_view hostId, MonotonicTime now);
+    // A running stream went on, beyond its first event.
+    void streamProgressed(std::string_view hostId, MonotonicTime now);
     void sendEnded(std::string_view hostId, SendResult, MonotonicTime now);
     // Excludes a pause of this node's event loop from stall detection: data that arrived during it is still unread.
     void excludePause(MonotonicTime::duration, MonotonicTime now);
@@ -81,6 +83,10 @@
     // Avoids a target until this time because another node reported it as stalled.
     void suspect(std::string_view hostId, MonotonicTime until);
     bool isSuspected(std::string_view hostId, MonotonicTime now) const;
+    // Targets that are avoided because they failed or stalled, or another node reported that they stalled.
+    std::vector<std::string> suspectedTargets(MonotonicTime now) const;
+    // When a running stream of each target last went on, since the given time.
+    std::map<std::string, MonotonicTime, std::less<>> progressSince(MonotonicTime) const;
     // Whether data of the target's streams has arrived since this time.
     bool hasHeardFrom(std::string_view hostId, MonotonicTime since) const;
     // Targets whose streams have all been idle for longer than the stall limit.
@@ -109,6 +115,7 @@
         MonotonicTime fullUntil {};
         MonotonicTime lastArrival {}; // Or the start of its only request.
         MonotonicTime heardAt {};
+        MonotonicTime progressedAt {};
         MonotonicTime avoidUntil {};
     };
 
--- a/src/fleet/factfeed.cpp
+++ b/src/fleet/factfeed.cpp
@@ -104,4 +104,15 @@
     return result;
 }
 
+std::optional<MonotonicTime> FactFeed::stallObservedAt(std::string_view hostId) const
+{
+    std::optional<MonotonicTime> latest;
+    for (const auto& [key, entry] : m_entries) {
+        auto* stall = std::get_if<StalledHead>(&entry.fact.content);
+        if (stall && stall->hostId == hostId)
+            latest = std::max(latest.value_or(entry.observedAt), entry.observedAt);
+    }
+    return latest;
+}
+
 } // namespace Kumquatpick
--- a/src/fleet/factfeed.h
+++ b/src/fleet/factfeed.h
@@ -35,6 +35,8 @@
     Changes changesSince(uint64_t version, std::string_view receiver, size_t most, MonotonicTime now) const;
     // Heads that any node reported as stalled within this time.
     std::vector<std::string> recentStalls(Milliseconds within, MonotonicTime now) const;
+    // When the latest known stall of this head was observed.
+    std::optional<MonotonicTime> stallObservedAt(std::string_view hostId) const;
 
     static Milliseconds lifetimeOf(const HostFact&);
 
--- a/src/fleet/hosttable.cpp
+++ b/src/fleet/hosttable.cpp
@@ -12,6 +12,8 @@
     // A member that loses its connection to the store is removed from the list after three missed heartbeats but goes
     // on serving in its replica. The replica's controller polls it meanwhile. This is the usual length of a partition.
     constexpr std::chrono::seconds unlistedRetention { 15 };
+    // An entry expires after three heartbeats. One that was written later than this before its removal was withdrawn.
+    constexpr int heartbeatsWithdrawn = 2;
 
     uint64_t epochOf(const HostStatus& status) { return status.membership ? status.membership->epoch : 0; }
 
@@ -32,6 +34,7 @@
     if (!isKnown && !dropEarlierIncarnation(host))
         return false;
     StatusSources& sources = m_sources[host.id];
+    sources.listedAt = std::max(sources.listedAt, at);
     bool isChanged = !isKnown || !(sources.listed == host);
     if (isChanged)
         sources.listed = host;
@@ -89,9 +92,11 @@
     if (found == m_hosts.end())
         return;
     const auto& membership = found->second.status.membership;
-    bool isMember = membership && membership->rank > 0 && !found->second.draining;
-    if (isMember)
-        m_recentlyUnlisted.insert_or_assign(found->first, UnlistedHost { found->second, m_listReadAt });
+    if (membership && !found->second.draining) {
+        MonotonicTime::duration silence = m_listReadAt - m_sources.find(id)->second.listedAt;
+        m_recentlyUnlisted.insert_or_assign(
+            found->first, UnlistedHost { found->second, m_listReadAt, silence < m_heartbeat * heartbeatsWithdrawn });
+    }
     erase(id, false);
 }
 
@@ -148,7 +153,11 @@
     if (unlisted == m_recentlyUnlisted.end())
         return;
     const Membership& membership = *unlisted->second.host.status.membership;
-    if (status.membership && status.membership->isOf(membership.replica, membership.epoch))
+    bool isHead = membership.rank == 0;
+    // A head that has ended its replica serves no stream, and its entry shows so when it returns.
+    bool isStillServing = status.membership && status.membership->isOf(membership.replica, membership.epoch)
+        && (!isHead || status.membership->state == membership.state);
+    if (isStillServing)
         return;
     m_recentlyUnlisted.erase(unlisted);
     ++m_version;
@@ -227,8 +236,14 @@
     for (const auto& [id, unlisted] : m_recentlyUnlisted) {
         const Membership& membership = *unlisted.host.status.membership;
         auto view = views.find({ membership.replica, membership.epoch });
-        if (view != views.end())
+        if (view == views.end())
+            continue;
+        if (membership.rank > 0) {
             view->second.recentlyUnlisted.push_back(&unlisted.host);
+        } else if (!view->second.head) {
+            view->second.unlistedHead = &unlisted.host;
+            view->second.isHeadWithdrawn = unlisted.isWithdrawn;
+        }
     }
     std::vector<ReplicaView> result;
     result.reserve(views.size());
--- a/src/fleet/hosttable.h
+++ b/src/fleet/hosttable.h
@@ -21,9 +21,14 @@
     const Host* head = nullptr; // nullptr while no host reports that it is the head.
     std::vector<const Host*> members; // Including the head.
     std::vector<const Host*> recentlyUnlisted; // Members recently removed from the list, in their last listed state.
+    const Host* unlistedHead = nullptr; // The head, if it was recently removed from the list; it takes no new requests.
+    bool isHeadWithdrawn = false; // The unlisted head removed its entry itself, which did not expire.
 
-    // Whether no member is missing. Unlisted members count: they may have lost only their connection to the store.
-    bool isComplete(uint32_t hosts) const { return members.size() + recentlyUnlisted.size() >= hosts; }
+    // Whether no member is missing. Unlisted hosts count: they may have lost only their connection to the store.
+    bool isComplete(uint32_t hosts) const
+    {
+        return members.size() + recentlyUnlisted.size() + (unlistedHead ? 1 : 0) >= hosts;
+    }
 };
 
 // A host incarnation that left the list.
@@ -47,6 +52,8 @@
     bool applyListEntry(Host, MonotonicTime at);
     // The list was read up to this time; entries that it did not repeat are unchanged.
     void setListReadAt(MonotonicTime at) { m_listReadAt = at; }
+    // The usual time between two writes of a host's entry, which expires after three of them without a write.
+    void setHeartbeat(Milliseconds heartbeat) { m_heartbeat = heartbeat; }
     // The entry was removed from the list.
     void removeListEntry(std::string_view id);
     // The host reported that it is draining. From then on it counts as draining whatever its entry says. Returns false
@@ -77,6 +84,7 @@
 private:
     struct StatusSources {
         Host listed;
+        MonotonicTime listedAt {}; // Latest write of the entry that this node has seen.
         std::optional<HostStatus> reported;
         MonotonicTime reportedAt {}; // Time of the latest report, whether or not it is still in effect.
         // Over all reports of this incarnation. The count only grows, so a report with a lower count was delayed, for
@@ -96,13 +104,15 @@
     struct UnlistedHost {
         Host host;
         MonotonicTime at;
+        bool isWithdrawn = false; // Its last write is too recent for the entry to have expired.
     };
-    std::map<std::string, UnlistedHost, std::less<>> m_recentlyUnlisted; // By host incarnation; heads are not kept.
+    std::map<std::string, UnlistedHost, std::less<>> m_recentlyUnlisted; // By host incarnation.
     std::map<std::string, uint64_t, std::less<>> m_firstSeen; // Order of appearance; small, never pruned.
     std::map<std::string, std::string, std::less<>> m_newestIncarnation; // Incarnation id by host name; never pruned.
     std::vector<GoneHost> m_gone;
     std::set<std::string, std::less<>> m_drainingHosts; // Incarnation ids; small, never pruned.
     MonotonicTime m_listReadAt {};
+    Milliseconds m_heartbeat { 1200 };
     uint64_t m_version = 0;
 };
 
--- a/src/fleet/loadaggregator.cpp
+++ b/src/fleet/loadaggregator.cpp
@@ -11,6 +11,17 @@
 
 }
 
+void addProgress(AgesByHost& total, const AgesByHost& ages, MonotonicTime::duration agedBy)
+{
+    for (const auto& [host, reported] : ages) {
+        Milliseconds age = reported + std::chrono::ceil<Milliseconds>(agedBy);
+        if (age > maxProgressAge)
+            continue;
+        Milliseconds& known = total.try_emplace(host, age).first->second;
+        known = std::min(known, age);
+    }
+}
+
 void LoadAggregator::applyNodeReport(std::string_view node, NodeLoads loads, MonotonicTime now)
 {
     std::erase_if(m_nodeReports, [&](const auto& entry) { return now - entry.second.receivedAt > reportLifetime; });
@@ -44,6 +55,7 @@
             total.inFlight[host] += count;
         for (const auto& [model, slots] : report.loads.unmetDemand)
             total.unmetDemand[model] += slots;
+        addProgress(total.progressAges, report.loads.progressAges, now - report.receivedAt);
     }
 }
 
--- a/src/fleet/loadaggregator.h
+++ b/src/fleet/loadaggregator.h
@@ -12,14 +12,26 @@
 // Requests in flight at the backend servers, by host.
 using LoadsByHost = std::map<std::string, uint32_t, std::less<>>;
 
+// The time since something was last seen, by host.
+using AgesByHost = std::map<std::string, Milliseconds, std::less<>>;
+
+// Older progress is not reported. It proves nothing: no engine with running streams is silent for as long.
+inline constexpr Milliseconds maxProgressAge { 4000 };
+
 // What a node, or all nodes of a zone, use and lack.
 struct NodeLoads {
     LoadsByHost inFlight;
     std::map<std::string, double, std::less<>> unmetDemand; // Slots that refused calls would have occupied, by model.
 
+    // Since a running stream of this host last went on at any of the nodes.
+    AgesByHost progressAges {};
+
     bool operator==(const NodeLoads&) const = default;
 };
 
+// Adds the ages of progress to those known, of which the lower ones count, after they have aged by this time.
+void addProgress(AgesByHost& total, const AgesByHost&, MonotonicTime::duration agedBy);
+
 // Adds up the loads that the nodes of a zone report, and stores the totals of the other zones. One node
 // of each zone does this for all its nodes. Reports older than a second and a half are ignored: the sender has stopped
 // or reports to another node. Not thread-safe.
--- a/src/fleet/nodemessage.h
+++ b/src/fleet/nodemessage.h
@@ -42,6 +42,8 @@
     bool anyCallSeen = false; // Any node has seen a call.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host; only in a full mesh.
     std::map<std::string, double, std::less<>> unmetDemand; // Slots, by model; only in a full mesh.
+    std::map<std::string, Milliseconds, std::less<>> progressAges; // See NodeLoads; only in a full mesh.
+    bool isProgressReadable = true; // Unreadable ages are ignored.
     std::vector<HostRateLimit> limits;
     std::vector<NodeState> nodes;
     std::vector<HostFact> facts;
--- a/src/fleet/plannerinput.cpp
+++ b/src/fleet/plannerinput.cpp
@@ -2,6 +2,12 @@
 
 namespace Kumquatpick {
 
+const char* name(HostContact contact)
+{
+    constexpr const char* names[] = { "unknown", "reachable", "unreachable", "unreachable_by_all", "refused", "ended" };
+    return names[static_cast<size_t>(contact)];
+}
+
 bool PlannerInput::isUsable(std::string_view hostId) const
 {
     const Host* host = hosts.find(hostId);
--- a/src/fleet/plannerinput.h
+++ b/src/fleet/plannerinput.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,8 @@
     Ended, // The process was replaced by a later start or another host.
 };
 
+const char* name(HostContact);
+
 struct PlannerInput {
     MonotonicTime now;
     const HostTable& hosts;
@@ -37,6 +40,10 @@
     DisabledMechanisms disabledMechanisms {};
     // Requests that all nodes have in flight at a host; as old as the other nodes' reports.
     std::function<uint32_t(std::string_view hostId)> inFlight = [](std::string_view) { return 0u; };
+    // When any node last saw a running stream of this head go on; nullopt if none did recently.
+    std::function<std::optional<MonotonicTime>(std::string_view hostId)> progressAt
+        = [](std::string_view) { return std::nullopt; };
+    bool isObserverCutOff = false; // This node reaches no backend server of the service.
 
     // Whether the host is listed, not draining and not known to be unreachable.
     bool isUsable(std::string_view hostId) const;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -32,17 +32,6 @@
 
     bool isTakingRequests(MemberState state) { return state == MemberState::Open || state == MemberState::Closing; }
 
-    // For a member that the list dropped: it lost its connection to the store, or it is about to end.
-    bool mayServeUnlisted(HostContact contact)
-    {
-        return contact == HostContact::Unknown || contact == HostContact::Reachable;
-    }
-
-    bool isUnreachable(HostContact contact)
-    {
-        return contact == HostContact::Unreachable || contact == HostContact::UnreachableByAll;
-    }
-
     // An order that affects only the membership in this replica and epoch.
     HostOrder membershipOrder(OrderKind kind, std::string_view hostId, std::string_view replica, uint64_t epoch)
     {
@@ -233,42 +222,66 @@
     }
     bool isRetired = tracked.retiringSince && input.now - *tracked.retiringSince > maxDrainTime;
     bool isServing = replica.head && isTakingRequests(replica.head->status.membership->state);
-    if (tracked.isDissolving || !isServing || isRetired)
+    if (tracked.isDissolving || isRetired || !(isServing || mayHeadReturn(replica, tracked)))
         return dissolve(input, replica, orders);
+    superviseHosts(input, replica, tracked, orders);
+}
 
-    if (tracked.closedSince)
-        m_hostsToPoll.insert(tracked.headId); // Its hosts are free as soon as its last request has ended.
-    const ModelSpec* model = input.service.model(replica.model);
-    bool isIncomplete = model && !replica.isComplete(model->hostsPerReplica);
-    bool isSuspected = isIncomplete || input.isStalled(replica.head->id);
-    bool hasLostMember = isIncomplete;
+// Whether an open head that was unlisted can serve again as soon as its entry is back.
+bool ReplicaPlanner::mayHeadReturn(const ReplicaView& replica, const TrackedReplica& tracked)
+{
+    bool wasOpen
+        = !replica.head && replica.unlistedHead && replica.unlistedHead->status.membership->state == MemberState::Open;
+    bool isAnyLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
+    return wasOpen && !tracked.closedSince && !tracked.retiringSince && !isAnyLeaving;
+}
+
+void ReplicaPlanner::superviseHosts(
+    const PlannerInput& input, const ReplicaView& replica, TrackedReplica& tracked, std::vector<HostOrder>& orders)
+{
+    tracked.headId = (replica.head ? replica.head : replica.unlistedHead)->id;
+    HealthState health = updateHealth(input, replica, tracked);
+    if (health == HealthState::Broken) {
+        // An unlisted head may still finish its requests.
+        tracked.hasLostMember = replica.head != nullptr;
+        return dissolve(input, replica, orders);
+    }
+    for (const auto& [id, since] : tracked.health->suspects)
+        m_hostsToPoll.insert(id);
+    bool isSuspected = health == HealthState::InDoubt || input.isStalled(tracked.headId);
+    if (tracked.closedSince || isSuspected)
+        m_hostsToPoll.insert(tracked.headId); // Closed: its hosts are free as soon as its last request has ended.
     bool isLeaving = tracked.retiringSince.has_value();
     for (const Host* member : replica.members) {
-        HostContact contact = input.contact(member->id);
         if (isSuspected)
             m_hostsToPoll.insert(member->id);
-        bool isLost = contact == HostContact::Ended || (contact == HostContact::Refused && !member->draining);
-        hasLostMember = hasLostMember || isLost || (isSuspected && isUnreachable(contact));
         isLeaving = isLeaving || member->draining;
     }
     // A member that left without notice stops listening first and stays while the head has requests.
-    for (const Host* member : replica.recentlyUnlisted) {
-        m_hostsToPoll.insert(member->id);
-        HostContact contact = input.contact(member->id);
-        bool mayStayForRequests = contact == HostContact::Refused && !isSuspected;
-        hasLostMember = hasLostMember || !(mayServeUnlisted(contact) || mayStayForRequests);
-        isLeaving = isLeaving || mayStayForRequests;
-    }
-    if (hasLostMember) {
-        tracked.hasLostMember = true;
-        return dissolve(input, replica, orders);
-    }
-    bool mayClose = isLeaving && replica.head->status.membership->state == MemberState::Open
-        && input.contact(replica.head->id) != HostContact::Refused;
+    for (const Host* member : replica.recentlyUnlisted)
+        isLeaving = isLeaving || (!input.isObserverCutOff && input.contact(member->id) == HostContact::Refused);
+    bool mayClose = isLeaving && replica.head && replica.head->status.membership->state == MemberState::Open
+        && input.contact(tracked.headId) != HostContact::Refused;
     if (mayClose)
         orderClose(input, replica, tracked, orders);
 }
 
+HealthState ReplicaPlanner::updateHealth(const PlannerInput& input, const ReplicaView& replica, TrackedReplica& tracked)
+{
+    ReplicaEvidence evidence = collectEvidence(input, replica);
+    evidence.firstSeenAt = tracked.firstSeenAt;
+    evidence.wasComplete = tracked.wasComplete;
+    tracked.wasComplete = tracked.wasComplete || !evidence.isIncomplete;
+    ReplicaHealth previous = tracked.health.value_or(ReplicaHealth {});
+    tracked.health = assessHealth(evidence, previous);
+    HealthState state = tracked.health->state;
+    bool isOtherDoubt = state == HealthState::InDoubt && tracked.health->reason != previous.reason;
+    if (state != previous.state || isOtherDoubt)
+        m_healthChanges.push_back(
+            { replica.name, replica.epoch, replica.model, previous.state, *tracked.health, std::move(evidence) });
+    return state;
+}
+
 void ReplicaPlanner::orderClose(
     const PlannerInput& input, const ReplicaView& replica, TrackedReplica& tracked, std::vector<HostOrder>& orders)
 {
@@ -461,6 +474,10 @@
         summary.open[model] = count - summary.forming[model];
     summary.dissolving = static_cast<size_t>(std::ranges::count_if(
         m_trackedReplicas, [](const auto& entry) { return entry.second.isDissolving && !entry.second.headHasLeft; }));
+    for (const auto& [key, tracked] : m_trackedReplicas) {
+        if (tracked.health)
+            ++summary.health[tracked.health->state];
+    }
     for (const auto& [domain, shift] : m_shifts)
         summary.shift += fmt::format("{}{} in {}", summary.shift.empty() ? "" : ", ", shift.model, domain);
     summary.loads = m_staging.loads() + loadsOfFormations(input);
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -7,6 +7,7 @@
 #include "fleet/modelstaging.h"
 #include "fleet/ordercounts.h"
 #include "fleet/plannerinput.h"
+#include "fleet/replicahealth.h"
 #include "fleet/replicashift.h"
 
 #include <cstdint>
@@ -50,12 +51,25 @@
         size_t dissolving = 0;
         size_t freeHosts = 0;
         uint32_t loads = 0; // In progress.
+        std::map<HealthState, uint32_t> health; // Replicas that have served, by their health.
         std::string shift; // Models whose replicas replace those of other models, with the domain; empty if none.
         // By domain and its assigned model: the number of free hosts by staged model.
         std::map<std::string, std::map<std::string, uint32_t>> freeByDomain;
     };
     Summary summary(const PlannerInput&) const;
 
+    // A replica whose health changed, or that is in doubt for another reason, with the evidence.
+    struct HealthChange {
+        std::string replica;
+        uint64_t epoch = 0;
+        std::string model;
+        HealthState before = HealthState::Whole;
+        ReplicaHealth health;
+        ReplicaEvidence evidence;
+    };
+    // Since the last call.
+    std::vector<HealthChange> takeHealthChanges() { return std::exchange(m_healthChanges, {}); }
+
     // Hosts whose reports the next decisions depend on.
     const std::set<std::string, std::less<>>& hostsToPoll() const { return m_hostsToPoll; }
     // Loading and idle hosts: their reports are useful, but a delay of them does not delay any request.
@@ -81,6 +95,8 @@
     // Kept for each replica while any host reports to be a member of it.
     struct TrackedReplica {
         MonotonicTime firstSeenAt {};
+        std::optional<ReplicaHealth> health; // Empty until its head was seen open.
+        bool wasComplete = false; // All of its hosts were listed at once.
         bool isDissolving = false;
         std::optional<MonotonicTime> retiringSince; // Set once its hosts are chosen to serve another model.
         std::string headId;
@@ -128,6 +144,9 @@
     bool adopt(const PlannerInput&, const ReplicaView&);
     bool mayStillForm(const PlannerInput&, const ReplicaView&, const TrackedReplica&) const;
     void superviseReplica(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
+    void superviseHosts(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
+    static bool mayHeadReturn(const ReplicaView&, const TrackedReplica&);
+    HealthState updateHealth(const PlannerInput&, const ReplicaView&, TrackedReplica&);
     void dissolve(const PlannerInput&, const ReplicaView&, std::vector<HostOrder>&);
     HeadStatus updateHeadStatus(const PlannerInput&, const ReplicaView&, TrackedReplica&) const;
     bool hasHeadEnded(const PlannerInput&, TrackedReplica&, const Host* head) const;
@@ -170,6 +189,7 @@
     std::set<std::string, std::less<>> m_formingHosts; // Hosts of all formations.
     std::set<uint64_t> m_formingEpochs; // Epochs of all formations.
     std::map<ReplicaKey, TrackedReplica> m_trackedReplicas;
+    std::vector<HealthChange> m_healthChanges;
     ModelStaging m_staging;
     OrderCounts m_orderCounts;
     DomainAssignment m_domainAssignment;
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -376,7 +376,10 @@
         size_t count = bytes.size() - parser.get().body().size;
         if (count > 0)
             recordData();
+        uint64_t known = m_eventStream.events();
         std::string events = m_eventStream.consume({ bytes.data(), count });
+        if (isWriting && m_node.empty() && m_eventStream.events() > known)
+            m_context.balancer.streamProgressed(m_hostId, m_context.now());
         if (m_eventStream.partialBytes() > maxEventBytes) {
             m_lastError = "the event stream holds an event without an end";
             m_context.log.write("answer_without_end", { { "id", m_call.id }, { "host", m_hostId } });
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -5,6 +5,7 @@
 #include "fleet/answertimes.h"
 #include "fleet/balancer.h"
 #include "fleet/hosttable.h"
+#include "fleet/loadaggregator.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
 #include "fleet/retryallowance.h"
@@ -58,6 +59,7 @@
         , incarnation(random() >> 12) // Small enough for a JSON number in every parser.
         , suspicion(incarnation, { .harmlessDuration = harmlessDuration, .namesAreUnique = true })
     {
+        hosts.setHeartbeat(settings.heartbeat);
     }
 
     asio::io_context& io;
@@ -90,6 +92,7 @@
     // exist.
     bool isConfigCurrent = false;
     std::map<Address, MonotonicTime> hostAddresses; // Includes hosts that were listed recently.
+    std::set<std::string, std::less<>> unreadableProgressSenders; // Already logged.
     ServerReach reach; // Whether this node itself is cut off from backend servers.
     // Addresses for callers of other nodes that reach the service.
     std::function<std::vector<std::string>(std::string_view service)> nodesReaching;
@@ -100,6 +103,14 @@
         const char* zoneLabel = zone == settings.zone ? "own" : "other";
         metrics.count(fmt::format("peer_bytes_total{{kind=\"{}\",zone=\"{}\"}}", kind, zoneLabel), bytes);
     }
+    // Since a running stream of each host last went on at this node.
+    AgesByHost ownProgressAges() const
+    {
+        AgesByHost ages;
+        for (const auto& [host, at] : balancer.progressSince(now() - maxProgressAge))
+            ages.emplace(host, std::chrono::floor<Milliseconds>(now() - at));
+        return ages;
+    }
     bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
 
     bool isStopping() const { return stopPlan.has_value(); }
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -33,6 +33,8 @@
     constexpr Milliseconds relayTimeout { 300 };
     constexpr Milliseconds contactValidity { 2000 };
     constexpr std::chrono::seconds contactRetention { 30 }; // After a host was unlisted.
+    // A head may stall again after a stall that was disproved; older progress does not tell the two apart.
+    constexpr Milliseconds progressDisproves { 1000 };
     // Nodes that start later, or missed a status, get it again.
     constexpr Milliseconds republishPeriod { 1000 };
 
@@ -92,28 +94,34 @@
         planner = std::make_unique<ReplicaPlanner>(fencing);
     auto wanted = wantedReplicas(service);
     bool anyCallSeen = m_context.anyCallSeen || m_peers.anyCallSeen();
-    HostIdSet stalledHosts = stalledHeads();
-    bool isCutOff = m_context.reach.isCutOff(service.name);
+    ProgressTimes progress = progressTimes();
+    HostIdSet stalledHosts = stalledHeads(service, progress);
     PlannerInput input { m_context.now(), m_context.hosts, service, wanted,
         [this](std::string_view id) { return contact(id); },
-        [this, &stalledHosts, isCutOff](std::string_view id) {
-            bool isSuspectedHere = !isCutOff && m_context.balancer.isSuspected(id, m_context.now());
-            return stalledHosts.contains(id) || isSuspectedHere;
+        [&stalledHosts](std::string_view id) { return stalledHosts.contains(id); }, !anyCallSeen,
+        m_context.disabledMechanisms, [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); },
+        [&progress](std::string_view id) {
+            auto found = progress.find(id);
+            return found == progress.end() ? std::nullopt : std::optional(found->second);
         },
-        !anyCallSeen, m_context.disabledMechanisms,
-        [this](std::string_view id) { return m_context.balancer.inFlightAtHost(id); } };
+        m_context.reach.isCutOff(service.name) };
     auto orders = planner->plan(input);
+    logHealthChanges(*planner);
     if (input.now - m_summaryAt >= summaryPeriod) {
         m_summaryAt = input.now;
         auto summary = planner->summary(input);
         std::map<std::string, double> inFlight;
         for (const ModelSpec& model : service.models)
             inFlight[model.name] = m_demand.at(model.name).demandedSlots();
+        for (HealthState state : { HealthState::Whole, HealthState::InDoubt, HealthState::Broken })
+            m_context.metrics.set(
+                fmt::format("replicas_by_health{{service=\"{}\",health=\"{}\"}}", service.name, name(state)),
+                summary.health[state]);
         m_context.log.write("replicas",
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
                 { "wanted", wanted }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
                 { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
-                { "free_by_domain", summary.freeByDomain } });
+                { "free_by_domain", summary.freeByDomain }, { "in_doubt", summary.health[HealthState::InDoubt] } });
     }
     for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
@@ -123,6 +131,66 @@
     }
 }
 
+// When the streams of each head last went on at any node.
+ControllerLoop::ProgressTimes ControllerLoop::progressTimes() const
+{
+    MonotonicTime now = m_context.now();
+    ProgressTimes times = m_context.balancer.progressSince(now - maxProgressAge);
+    const NodeLoads* others = m_loads.others();
+    MonotonicTime receivedAt = others ? m_loads.updatedAt().value_or(now) : now;
+    for (const auto& [id, age] : others ? others->progressAges : m_peers.progressOfOthers()) {
+        MonotonicTime& latest = times.try_emplace(id, receivedAt - age).first->second;
+        latest = std::max(latest, receivedAt - age);
+    }
+    return times;
+}
+
+// Heads whose streams stand still as this node or another one sees it, unless they went on at any node since.
+ControllerLoop::HostIdSet ControllerLoop::stalledHeads(const ServiceSpec& service, const ProgressTimes& progress)
+{
+    MonotonicTime now = m_context.now();
+    bool isCutOff = m_context.reach.isCutOff(service.name);
+    auto hasProgressedSince = [&progress, now](const std::string& id, MonotonicTime since) {
+        auto found = progress.find(id);
+        return found != progress.end() && found->second > since && now - found->second < progressDisproves;
+    };
+    HostIdSet stalled = stalledHeads();
+    std::erase_if(stalled,
+        [&](const std::string& id) { return hasProgressedSince(id, m_peers.stallObservedAt(id).value_or(now)); });
+    std::erase_if(m_suspectedSince,
+        [&](const auto& entry) { return isCutOff || !m_context.balancer.isSuspected(entry.first, now); });
+    for (const std::string& id : m_context.balancer.suspectedTargets(now)) {
+        MonotonicTime since = m_suspectedSince.try_emplace(id, now).first->second;
+        if (!isCutOff && !hasProgressedSince(id, since))
+            stalled.insert(id);
+    }
+    return stalled;
+}
+
+void ControllerLoop::logHealthChanges(ReplicaPlanner& planner)
+{
+    MonotonicTime now = m_context.now();
+    auto ageMs = [now](std::optional<MonotonicTime> at) {
+        return at ? nlohmann::json(std::chrono::floor<Milliseconds>(now - *at).count()) : nlohmann::json();
+    };
+    for (const ReplicaPlanner::HealthChange& change : planner.takeHealthChanges()) {
+        nlohmann::json suspects = nlohmann::json::object();
+        for (const auto& [id, since] : change.health.suspects)
+            suspects[id] = { { "contact", name(contact(id)) }, { "listed", m_context.hosts.find(id) != nullptr },
+                { "for_ms", ageMs(since) } };
+        m_context.metrics.count(fmt::format("replica_health_changes_total{{to=\"{}\",reason=\"{}\"}}",
+            name(change.health.state), name(change.health.reason)));
+        m_context.log.write("replica_health",
+            { { "replica", change.replica }, { "epoch", change.epoch }, { "model", change.model },
+                { "before", name(change.before) }, { "health", name(change.health.state) },
+                { "reason", name(change.health.reason) }, { "host", change.health.hostId }, { "suspects", suspects },
+                { "progress_age_ms", ageMs(change.evidence.progressAt) },
+                { "progress_valid_ms", change.evidence.progressValidity.count() },
+                { "in_flight", change.evidence.inFlight }, { "stalled", change.evidence.isStalled },
+                { "observer_cut_off", change.evidence.isObserverCutOff } });
+    }
+}
+
 void ControllerLoop::updateDemand()
 {
     const NodeLoads* others = m_loads.others();
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -67,6 +67,10 @@
     void applyStatusResponse(const std::string& hostId, const Settled<HttpResponse>&, MonotonicTime asOf);
     void publishStatus(const std::string& hostId, MonotonicTime asOf);
     HostIdSet stalledHeads() const;
+    using ProgressTimes = std::map<std::string, MonotonicTime, std::less<>>;
+    ProgressTimes progressTimes() const;
+    HostIdSet stalledHeads(const ServiceSpec&, const ProgressTimes&);
+    void logHealthChanges(ReplicaPlanner&);
     asio::awaitable<Settled<HttpResponse>> pollThroughPeers(std::string hostId, Address);
     asio::awaitable<void> pollThroughPeer(std::string peer, std::string hostId, Address, std::shared_ptr<RelayedPoll>);
     asio::awaitable<Settled<HttpResponse>> callHost(std::string hostId, Address, HttpRequest, Milliseconds, Step);
@@ -87,6 +91,7 @@
     std::map<std::string, PublishedStatus, std::less<>> m_published; // By host.
     std::map<std::string, double, std::less<>> m_unmetDemandOfOthers; // Slots, by model.
     std::map<std::string, ReplicaDemand, std::less<>> m_demand; // By model.
+    ProgressTimes m_suspectedSince; // Heads that this node itself avoids.
     MonotonicTime m_summaryAt {};
     uint64_t m_addressesVersion = UINT64_MAX; // Version of the host table that m_addresses was updated from.
     size_t m_statusCalls = 0; // In progress.
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/loadexchange.h"
 
 #include "gateway/asio.h"
+#include "gateway/progressfield.h"
 #include "gateway/task.h"
 
 #include <algorithm>
@@ -30,6 +31,7 @@
         json document { { field, name }, { "loads", loads.inFlight } };
         if (!loads.unmetDemand.empty())
             document["unmet"] = loads.unmetDemand;
+        encodeProgress(document, loads.progressAges);
         auto bytes = json::to_cbor(document);
         return { bytes.begin(), bytes.end() };
     }
@@ -39,15 +41,18 @@
         std::string node;
         std::string zone;
         NodeLoads loads;
+        bool isProgressReadable = true;
     };
 
     std::optional<LoadMessage> decodeLoads(std::string_view bytes)
     {
         try {
             json document = json::from_cbor(bytes.begin(), bytes.end());
+            auto progress = decodeProgress(document);
             return LoadMessage { document.value("node", ""), document.value("zone", ""),
-                { document.at("loads").get<LoadsByHost>(),
-                    document.value("unmet", decltype(NodeLoads::unmetDemand)()) } };
+                { document.at("loads").get<LoadsByHost>(), document.value("unmet", decltype(NodeLoads::unmetDemand)()),
+                    progress.value_or(AgesByHost {}) },
+                progress.has_value() };
         } catch (const json::exception&) {
             return std::nullopt; // The receiver logs it.
         }
@@ -65,7 +70,7 @@
 
 NodeLoads LoadExchange::ownLoads() const
 {
-    NodeLoads loads { m_context.balancer.inFlight(), {} };
+    NodeLoads loads { m_context.balancer.inFlight(), {}, m_context.ownProgressAges() };
     for (const auto& [model, demand] : m_context.demand) {
         if (demand.unmetDemand > 0)
             loads.unmetDemand.emplace(model, demand.unmetDemand);
@@ -125,6 +130,8 @@
     auto* response = std::get_if<HttpResponse>(&answer);
     auto told = response && response->result() == http::status::ok ? decodeLoads(response->body()) : std::nullopt;
     if (told) {
+        if (!told->isProgressReadable)
+            logUnreadableProgress(m_context, peer);
         m_context.countPeerBytes(
             "loads", told->zone.empty() ? m_context.settings.zone : told->zone, sent + response->body().size());
         co_return std::move(told->loads);
@@ -178,6 +185,8 @@
         m_context.log.write("peer_unreadable", { { "bytes", request.body().size() } });
         return { http::status::bad_request, 11 };
     }
+    if (!told->isProgressReadable)
+        logUnreadableProgress(m_context, told->zone.empty() ? told->node : told->zone);
     MonotonicTime now = m_context.now();
     HttpResponse response(http::status::ok, 11);
     if (!told->zone.empty()) {
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/nodecodec.h"
 
+#include "gateway/progressfield.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -219,6 +221,9 @@
         message.anyCallSeen = document.value("calls", false);
         message.inFlight = document.value("in_flight", decltype(message.inFlight)());
         message.unmetDemand = document.value("unmet", decltype(message.unmetDemand)());
+        auto progress = decodeProgress(document);
+        message.isProgressReadable = progress.has_value();
+        message.progressAges = std::move(progress).value_or(AgesByHost {});
         message.sent = decodePosition(document.at("sent"));
         message.received = decodePosition(document.at("received"));
         message.unreachable = document.value("unreachable", std::vector<std::string>());
@@ -265,6 +270,7 @@
         document["in_flight"] = message.inFlight;
     if (!message.unmetDemand.empty())
         document["unmet"] = message.unmetDemand;
+    encodeProgress(document, message.progressAges);
     if (!message.unreachable.empty())
         document["unreachable"] = message.unreachable;
     if (message.bucketHashes)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/asio.h"
 #include "gateway/nodecodec.h"
+#include "gateway/progressfield.h"
 #include "gateway/relay.h"
 #include "gateway/task.h"
 
@@ -95,6 +96,7 @@
     message.inFlight = m_context.balancer.inFlight();
     for (const auto& [model, demand] : m_context.demand)
         message.unmetDemand[model] = demand.unmetDemand;
+    message.progressAges = m_context.ownProgressAges();
 }
 
 asio::awaitable<void> Peers::exchangeWith(std::string address)
@@ -146,7 +148,10 @@
 {
     const NodeState& sender = message.sender;
     if (!message.inFlight.empty() || !message.unmetDemand.empty() || m_peerLoads.contains(sender.address))
-        m_peerLoads.insert_or_assign(sender.address, PeerLoad { message.inFlight, message.unmetDemand });
+        m_peerLoads.insert_or_assign(
+            sender.address, PeerLoad { message.inFlight, message.unmetDemand, message.progressAges, m_context.now() });
+    if (!message.isProgressReadable)
+        logUnreadableProgress(m_context, sender.name);
     m_reads.recordPeerVersion(sender.address, sender.zone, message.configVersion);
     m_handlers.applyReceived(received, sender.name);
 }
@@ -272,6 +277,14 @@
     return total;
 }
 
+AgesByHost Peers::progressOfOthers() const
+{
+    AgesByHost total;
+    for (const auto& [address, load] : m_peerLoads)
+        addProgress(total, load.progressAges, m_context.now() - load.receivedAt);
+    return total;
+}
+
 std::vector<std::string> Peers::nodesReaching(std::string_view service) const
 {
     std::vector<std::string> result;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/loadaggregator.h"
 #include "fleet/nodeexchange.h"
 #include "gateway/context.h"
 #include "gateway/peerreads.h"
@@ -43,6 +44,10 @@
     }
     // Heads that any node recently reported as stalled.
     std::vector<std::string> stalledHeads() const;
+    std::optional<MonotonicTime> stallObservedAt(std::string_view headId) const
+    {
+        return m_exchange.facts().stallObservedAt(headId);
+    }
 
     std::vector<std::string> aliveAddresses() const;
     // Live nodes that are not stopping, including this one, by their addresses. An empty zone means all zones.
@@ -58,6 +63,8 @@
     // Sums of what the other nodes of a full mesh reported.
     std::map<std::string, uint32_t, std::less<>> inFlightOfOthers() const;
     std::map<std::string, double, std::less<>> unmetDemandOfOthers() const;
+    // When a stream of each host last went on at any other node of a full mesh.
+    AgesByHost progressOfOthers() const;
     bool anyCallSeen() const { return m_exchange.anyCallSeen(); }
     uint64_t newestTerm() const { return m_exchange.newestTerm(); }
     // Whether the CPU share of this node is close to the largest of all live nodes.
@@ -78,6 +85,8 @@
     struct PeerLoad {
         std::map<std::string, uint32_t, std::less<>> inFlight;
         std::map<std::string, double, std::less<>> unmetDemand;
+        AgesByHost progressAges;
+        MonotonicTime receivedAt {};
     };
 
     NodeState ownState() const;
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -51,7 +51,12 @@
                 [this](std::string_view id) {
                     auto found = inFlight.find(id);
                     return found == inFlight.end() ? 0u : found->second;
-                } };
+                },
+                [this](std::string_view id) {
+                    auto found = progressAt.find(id);
+                    return found == progressAt.end() ? std::nullopt : std::optional(found->second);
+                },
+                isObserverCutOff };
             for (const HostOrder& order : planner.plan(input)) {
                 orders.push_back(order);
                 planner.orderEnded(order, handleOrder(order), now);
@@ -170,6 +175,8 @@
     std::set<std::string, std::less<>> nonReportingHosts; // Listed hosts that do not report.
     std::map<std::string, uint64_t, std::less<>> ordersAccepted; // As counted by the hosts.
     std::optional<Milliseconds> closingDuration; // How long a closed head finishes its requests; nothing: for ever.
+    std::map<std::string, MonotonicTime, std::less<>> progressAt; // Of the streams, by head.
+    bool isObserverCutOff = false;
     bool isBeforeTraffic = true;
     std::function<OrderResult(const HostOrder&)> handleOrder
         = [this](const HostOrder& order) { return applyOrder(order); };
