--- a/src/fleet/nodemessage.h
+++ b/src/fleet/nodemessage.h
@@ -43,6 +43,8 @@
     bool anyCallSeen = false; // Any node has seen a call.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host; only in a full mesh.
     std::map<std::string, double, std::less<>> unmetDemand; // Slots, by model; only in a full mesh.
+    std::map<std::string, Milliseconds, std::less<>> progressAges; // See NodeLoads; only in a full mesh.
+    bool isProgressReadable = true; // Unreadable ages are ignored.
     std::vector<HostRateLimit> limits;
     std::optional<EvacuationReport> evacuations; // Nothing if the sender knows of none.
     std::vector<NodeState> nodes;
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/nodecodec.h"
 
 #include "gateway/evacuationcodec.h"
+#include "gateway/progressfield.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -221,6 +222,9 @@
         message.anyCallSeen = document.value("calls", false);
         message.inFlight = document.value("in_flight", decltype(message.inFlight)());
         message.unmetDemand = document.value("unmet", decltype(message.unmetDemand)());
+        auto progress = decodeProgress(document);
+        message.isProgressReadable = progress.has_value();
+        message.progressAges = std::move(progress).value_or(AgesByHost {});
         message.sent = decodePosition(document.at("sent"));
         message.received = decodePosition(document.at("received"));
         message.unreachable = document.value("unreachable", std::vector<std::string>());
@@ -274,6 +278,7 @@
         document["in_flight"] = message.inFlight;
     if (!message.unmetDemand.empty())
         document["unmet"] = message.unmetDemand;
+    encodeProgress(document, message.progressAges);
     if (!message.unreachable.empty())
         document["unreachable"] = message.unreachable;
     if (message.bucketHashes)
