Send calls only where their first event is predicted in time

Callers waited: when a third of the heads was gone and traffic rose, most calls went to heads that had a free place by late counts, were answered late or left by their callers. FirstEventForecast predicts the time to the first event from the engine's figures, the calls in flight and the observed times; gateSteps says which predictions a call may take, Balancer chooses among such heads, and the rest is refused at once with a spread time to come back. TeamShares holds teams with more than an equal share to less where calls are refused.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -93,11 +93,60 @@
         && std::ranges::find(request.excludedHosts, target.serving.hostId) == request.excludedHosts.end();
 }
 
+HeadLoad Balancer::headLoad(const Target& target)
+{
+    const ServingTarget& serving = target.serving;
+    return { serving.hostId, serving.service, serving.model, serving.capacity, serving.pace,
+        target.localInFlight + target.remoteInFlight };
+}
+
+std::optional<HeadLoad> Balancer::headLoad(std::string_view hostId) const
+{
+    auto found = m_targets.find(hostId);
+    if (found == m_targets.end())
+        return std::nullopt;
+    return headLoad(found->second);
+}
+
+bool Balancer::isInTime(const Target& target, const ChoiceRequest& request, MonotonicTime now) const
+{
+    const FirstEventBound& bound = request.firstEvent;
+    if (!bound.forecast)
+        return true;
+    std::optional<ForecastedTime> predicted = bound.forecast->predict(headLoad(target), bound.promptTokens, now);
+    if (!predicted)
+        return true;
+    bool hasSlot = bound.maxLoad >= 1
+        || target.localInFlight + target.remoteInFlight + 1 <= bound.maxLoad * target.serving.capacity;
+    return hasSlot && predicted->usualMs() <= bound.maxMs;
+}
+
+double Balancer::speedWeight(const Target& target, const ChoiceRequest& request, MonotonicTime now) const
+{
+    const FirstEventBound& bound = request.firstEvent;
+    auto predicted = bound.forecast ? bound.forecast->predict(headLoad(target), bound.promptTokens, now) : std::nullopt;
+    return predicted ? 1 / std::max(1.0, predicted->totalMs() * predicted->totalMs()) : 1;
+}
+
+std::optional<double> Balancer::shortestFirstEventMs(const ChoiceRequest& request, MonotonicTime now) const
+{
+    std::optional<double> shortest;
+    for (const auto& [id, target] : m_targets) {
+        bool serves = target.serving.service == request.service && target.serving.model == request.model;
+        if (!serves || !request.firstEvent.forecast)
+            continue;
+        auto predicted = request.firstEvent.forecast->predict(headLoad(target), request.firstEvent.promptTokens, now);
+        if (predicted)
+            shortest = std::min(shortest.value_or(predicted->totalMs()), predicted->totalMs());
+    }
+    return shortest;
+}
+
 std::string Balancer::choose(const ChoiceRequest& request, MonotonicTime now, Random& random)
 {
     std::vector<const Target*> usable;
     for (const auto& [id, target] : m_targets) {
-        if (!isUsable(target, request, now))
+        if (!isUsable(target, request, now) || !isInTime(target, request, now))
             continue;
         if (m_limits.admits(id, now))
             usable.push_back(&target);
@@ -113,8 +162,8 @@
     double total = 0;
     for (const Target* target : usable) {
         double free = std::max(minFreeShare, 1 + 1.0 / target->serving.capacity - expectedLoad(*target));
-        weights.push_back(free * free);
-        total += free * free;
+        weights.push_back(free * free * speedWeight(*target, request, now));
+        total += weights.back();
     }
     double draw = std::uniform_real_distribution<double>(0, total)(random);
     for (size_t i = 0; i + 1 < usable.size(); ++i) {
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "fleet/backoffs.h"
+#include "fleet/firsteventforecast.h"
 #include "fleet/ratelimits.h"
 
 #include <cstdint>
@@ -37,11 +38,20 @@
     Unreachable, // The target accepts no connections.
 };
 
+// Limits a choice to targets that are predicted to send the first event in time.
+struct FirstEventBound {
+    const FirstEventForecast* forecast = nullptr; // nullptr: no limit.
+    uint32_t promptTokens = 0;
+    double maxMs = 0; // For a usual prompt, so that long ones are not refused more often.
+    double maxLoad = 1; // Share of the target's slots in use, with this request.
+};
+
 struct ChoiceRequest {
     std::string_view service;
     std::string_view model;
     std::span<const std::string> excludedHosts; // Hosts that this request has already tried.
     uint32_t queueLimit = 0; // Requests that may queue at the target beyond its capacity.
+    FirstEventBound firstEvent {};
 };
 
 // Spreads requests over targets by the number in flight at each, from this node and, as reported, from the other nodes.
@@ -86,6 +96,12 @@
     // Targets whose streams have all been idle for longer than the stall limit.
     std::vector<std::string> stalledTargets(MonotonicTime now) const;
 
+    // What a prediction for the target depends on; nothing if it is none.
+    std::optional<HeadLoad> headLoad(std::string_view hostId) const;
+    // The shortest predicted time to the first event, over all targets that serve this; nothing if there is no
+    // prediction.
+    std::optional<double> shortestFirstEventMs(const ChoiceRequest&, MonotonicTime now) const;
+
     // This node's requests in flight, by host, to be reported to the other nodes.
     std::map<std::string, uint32_t, std::less<>> inFlight() const;
     // Requests of all nodes in flight at one target.
@@ -112,8 +128,12 @@
         MonotonicTime avoidUntil {};
     };
 
+    static HeadLoad headLoad(const Target&);
     double expectedLoad(const Target&) const;
     bool isUsable(const Target&, const ChoiceRequest&, MonotonicTime now) const;
+    bool isInTime(const Target&, const ChoiceRequest&, MonotonicTime now) const;
+    // Factor on the weight of a target in a choice: prefers those that send the first event sooner.
+    double speedWeight(const Target&, const ChoiceRequest&, MonotonicTime now) const;
 
     std::string m_zone;
     std::map<std::string, Target, std::less<>> m_targets;
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -24,6 +24,8 @@
     double stepMs = 0; // Time to produce one token for every active request.
     double perSequenceMs = 0; // Added to a step by each active request.
     double promptTokensPerSecond = 0;
+    double contextMsPerThousand = 0; // Added to a step by each active request per thousand tokens of its context.
+    uint32_t stepsPerPass = 1; // An engine takes on new requests only between passes.
     double loadsPerSecond = 0; // Rate at which loads may begin, over all hosts.
     uint32_t concurrentLoads = 1; // More loads at once share the weight store's bandwidth, so each takes longer.
     Milliseconds reportLag {}; // Delay of a host's own status reports.
@@ -57,6 +59,7 @@
     bool isPublic = false; // Accepts requests without a key.
     Milliseconds timeout {};
     Milliseconds targetLatency {}; // To the first byte; later answers earn less credit.
+    Milliseconds targetGap {}; // Longest pause between events of a stream that is on time; 0 if none is named.
     int priority = 0; // 0 is the highest.
     uint32_t maxAttempts = 1; // Replicas on which one request may be attempted.
 };
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -1,5 +1,6 @@
 #include "gateway/callforwarder.h"
 
+#include "fleet/callgate.h"
 #include "fleet/callpriority.h"
 #include "fleet/serverleave.h"
 #include "gateway/asio.h"
@@ -106,6 +107,7 @@
     m_active->backend = nullptr;
     if (!m_active->hostId.empty()) {
         m_context.suspicion.withdrawn(m_suspects, m_active->hostId);
+        m_context.forecast.sendWithdrawn(m_active->hostId, std::exchange(m_forecastedSend, 0));
         m_context.balancer.sendEnded(std::exchange(m_active->hostId, {}), SendResult::CallerGone, m_context.now());
     }
     releaseReservation();
@@ -184,7 +186,9 @@
     else if (m_isCallerRetry)
         queue += retryQueueExtra;
     auto choose = [&](std::span<const std::string> hosts) {
-        return m_context.balancer.choose({ m_service, m_call.model, hosts, queue }, now, m_context.random);
+        ChoiceRequest request { m_service, m_call.model, hosts, queue };
+        return isForecastUsed(hasStarted) ? chooseHostInTime(request, now)
+                                          : m_context.balancer.choose(request, now, m_context.random);
     };
     // Two suspects on one server would share its death.
     std::vector<std::string> suspects = m_context.suspicion.replicasToAvoid(m_suspects, now);
@@ -197,6 +201,44 @@
     return choose(excluded);
 }
 
+// A stream that has started goes on wherever there is a place for it.
+bool CallForwarder::isForecastUsed(bool hasStarted) const
+{
+    return m_servesModels && m_route->streaming && !hasStarted
+        && !m_context.disabledMechanisms.contains(Mechanism::FirstEventForecast);
+}
+
+std::string CallForwarder::chooseHostInTime(ChoiceRequest request, MonotonicTime now)
+{
+    auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_arrived);
+    const ServiceSpec* service = m_routes->config().service(m_service);
+    bool isModelKnown = service && service->model(m_call.model);
+    bool isShared = m_team && isModelKnown && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
+    TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
+    std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
+        shares && shares->isOverShare(m_team->name, now), m_isCallerRetry,
+        m_context.forecast.fastestMs(m_service, m_call.model) });
+    m_isRefusedByForecast = false;
+    if (steps.empty())
+        return m_context.balancer.choose(request, now, m_context.random);
+    if (m_sends > 0)
+        shares = nullptr; // Counted already.
+    if (shares)
+        shares->recordAsked(m_team->name, now);
+    for (const GateStep& step : steps) {
+        request.firstEvent = { &m_context.forecast, m_call.promptTokens, step.maxFirstEventMs, step.maxLoad };
+        std::string hostId = m_context.balancer.choose(request, now, m_context.random);
+        if (hostId.empty())
+            continue;
+        if (shares)
+            shares->recordAdmitted(m_team->name, now);
+        return hostId;
+    }
+    request.firstEvent = {};
+    m_isRefusedByForecast = !m_context.balancer.choose(request, now, m_context.random).empty();
+    return {};
+}
+
 bool CallForwarder::reserveOtherServer()
 {
     MonotonicTime now = m_context.now();
@@ -273,9 +315,13 @@
         if (!m_hostId.empty() && !m_hasLeftServer)
             co_return false;
         if (now >= until) {
-            m_lastError = m_lastError.empty() ? "no replica has a free slot" : m_lastError;
-            if (m_servesModels && m_possibleRuns == 0)
+            if (m_lastError.empty())
+                m_lastError = m_isRefusedByForecast ? "no replica answers in time" : "no replica has a free slot";
+            if (m_servesModels && m_possibleRuns == 0) {
                 ++m_context.demand[m_call.model].refusedSinceTick;
+                m_context.metrics.count(
+                    fmt::format("calls_without_place_total{{reason=\"{}\"}}", m_isRefusedByForecast ? "late" : "full"));
+            }
             co_return false;
         }
         co_await sleepFor(slotPollPeriod);
@@ -364,6 +410,11 @@
     MonotonicTime now = m_context.now();
     if (auto end = m_context.balancer.allBackedOffUntil(m_service, m_call.model, now))
         return std::max(minRetryAfter, std::chrono::ceil<Milliseconds>(*end - now)) + spread;
+    if (m_isRefusedByForecast) {
+        auto shortest = m_context.balancer.shortestFirstEventMs(
+            { m_service, m_call.model, {}, 0, { &m_context.forecast, m_call.promptTokens } }, now);
+        return gateRetryAfter(shortest.value_or(0), m_route->targetLatency, timeLeft(), draw);
+    }
     return std::min(minRetryAfter + spread, timeLeft() / 3);
 }
 
@@ -431,6 +482,11 @@
         fields["host"] = m_hostId;
         fields["in_flight_before"] = m_inFlightBefore; // Input of the choice of the host.
     }
+    if (m_forecast) {
+        fields["predicted_ms"] = m_forecast->totalMs();
+        fields["predicted_delay_ms"] = m_forecast->delayMs;
+        fields["prompt_tokens"] = m_call.promptTokens;
+    }
     if (outcome == "answered")
         m_context.log.writeRoutine("request", std::move(fields));
     else
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -53,6 +53,8 @@
     int priority() const;
     MonotonicTime hostWaitDeadline() const;
     std::string chooseHost(MonotonicTime now, std::span<const std::string> excluded, bool hasStarted);
+    bool isForecastUsed(bool hasStarted) const;
+    std::string chooseHostInTime(ChoiceRequest, MonotonicTime now);
     bool reserveOtherServer();
     void releaseReservation();
     asio::awaitable<bool> awaitHost();
@@ -79,6 +81,9 @@
     // Whether an answer that ended with its connection ended because its server did.
     asio::awaitable<bool> hasEndedWithServer();
     asio::awaitable<bool> writeEvents(const ResponseHead&, std::string events);
+    void startForecast(const std::string& hostId, MonotonicTime now);
+    void endForecast(const std::string& hostId, MonotonicTime now);
+    void recordFirstEvent(MonotonicTime now);
     void recordData(); // A part of the answer arrived.
     void recordBackendError(std::string_view step, const beast::error_code&);
     asio::awaitable<void> recordRunEnd(SendOutcome, Address);
@@ -129,6 +134,9 @@
     std::optional<HttpResponse> m_nodeRefusal; // Returned as the final answer.
     bool m_hadConnection = false; // The latest send got a connection.
     uint32_t m_inFlightBefore = 0; // At the host of the latest send, over all nodes known here.
+    uint64_t m_forecastedSend = 0; // Of the current send; 0 if there is no prediction or the first event has come.
+    std::optional<ForecastedTime> m_forecast; // Of the latest send.
+    bool m_isRefusedByForecast = false; // There are free places, but none where the call would be in time.
     bool m_mayReuseConnection = false; // Set after a refusal.
     bool m_hasSucceeded = false; // The current send got a complete and successful response.
     bool m_isEndMarked = true; // The length or the last chunk of the current send's response shows that it is complete.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cmath>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -69,6 +70,38 @@
     co_return co_await sendToServer();
 }
 
+void CallForwarder::startForecast(const std::string& hostId, MonotonicTime now)
+{
+    m_forecastedSend = 0;
+    std::optional<HeadLoad> load = m_context.balancer.headLoad(hostId);
+    if (!load || !m_servesModels || !m_route->streaming)
+        return;
+    m_forecast = m_context.forecast.predict(*load, m_call.promptTokens, now);
+    m_forecastedSend = m_context.forecast.sendStarted(*load, m_call.promptTokens, now);
+}
+
+void CallForwarder::recordFirstEvent(MonotonicTime now)
+{
+    auto error = m_context.forecast.firstEventArrived(m_hostId, std::exchange(m_forecastedSend, 0), now);
+    if (!error)
+        return;
+    std::chrono::duration<double, std::milli> size(std::abs(*error));
+    m_context.metrics.observe(
+        *error > 0 ? "first_event_later_than_predicted_seconds" : "first_event_sooner_than_predicted_seconds",
+        std::chrono::duration_cast<std::chrono::nanoseconds>(size));
+}
+
+// A send that ended without a first event shows how slow the head is only if its caller left because of that.
+void CallForwarder::endForecast(const std::string& hostId, MonotonicTime now)
+{
+    uint64_t send = std::exchange(m_forecastedSend, 0);
+    if (m_active->cancelReason == CancelReason::CallerDisconnected
+        || m_active->cancelReason == CancelReason::DeadlineExceeded || m_active->left == LeaveReason::Stalled)
+        m_context.forecast.callerLeft(hostId, send, now);
+    else
+        m_context.forecast.sendWithdrawn(hostId, send);
+}
+
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendToServer()
 {
     MonotonicTime begun = m_context.now();
@@ -83,6 +116,7 @@
     }
     Address address = host->address;
     m_inFlightBefore = m_context.balancer.inFlightAt(hostId);
+    startForecast(hostId, begun);
     if (std::exchange(m_reservedHostId, {}).empty())
         m_context.balancer.sendStarted(hostId, begun);
     m_active->hostId = hostId;
@@ -125,6 +159,7 @@
         m_sendEnd = SendResult::Stalled;
     else if (m_active->left == LeaveReason::Retiring || m_active->left == LeaveReason::CutOff)
         m_sendEnd = SendResult::Left;
+    endForecast(hostId, m_context.now());
     m_context.balancer.sendEnded(hostId, m_sendEnd, m_context.now());
     if (outcome != SendOutcome::NotRun)
         ++m_possibleRuns;
@@ -385,6 +420,7 @@
         if (!isWriting && m_eventStream.events() > eventsBefore) {
             isWriting = true;
             m_context.balancer.adjustActiveStreams(m_hostId, 1);
+            recordFirstEvent(m_context.now());
         }
         if (!events.empty() && !co_await writeEvents(parser.get().base(), std::move(events)))
             co_return SendOutcome::CallerBroken;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/answertimes.h"
 #include "fleet/balancer.h"
+#include "fleet/firsteventforecast.h"
 #include "fleet/hosttable.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
@@ -12,6 +13,7 @@
 #include "fleet/routetable.h"
 #include "fleet/serverreach.h"
 #include "fleet/stopplan.h"
+#include "fleet/teamshares.h"
 #include "gateway/activecall.h"
 #include "gateway/connectionpool.h"
 #include "gateway/eventlog.h"
@@ -80,6 +82,8 @@
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
     AnswerTimes answerTimes;
+    FirstEventForecast forecast;
+    std::map<std::string, TeamShares, std::less<>> teamShares; // By model.
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
     std::optional<StopPlan> stopPlan; // Set once the node was told to stop.
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -39,6 +39,10 @@
     m_targetsHostVersion = m_context.hosts.version();
     m_targetsRoutes = m_context.routes.get();
     const FleetConfig& config = m_context.routes->config();
+    for (const ServiceSpec& service : config.services) {
+        if (service.servesModels())
+            m_context.forecast.setTiming(service.name, service.timing);
+    }
     std::vector<ServingTarget> targets;
     m_retiringHeads.clear();
     for (const ReplicaView& replica : m_context.hosts.replicas()) {
@@ -70,6 +74,7 @@
 void Gateway::moveCalls()
 {
     MonotonicTime now = m_context.now();
+    m_context.forecast.tick(now);
     std::vector<std::string> stalled;
     if (!m_context.disabledMechanisms.contains(Mechanism::StalledStreamClose))
         stalled = m_context.balancer.stalledTargets(now);
