Pass the turns to try a stopped part over to nodes that are still there

Cause: the nodes that observed deaths take turns of 2 s to try the part. Lost nodes, and the former processes of restarted ones, kept theirs: in the first case three of them came first, so the first trial was 7 s after it was due.

Change: a node counts only the turns of observers that are alive, by the incarnations in its table of nodes. A node that reaches no other can't tell and counts all. While views differ, two turns may come at once: one trial more.

The simulation of nodes tells the guards which nodes are alive, as the gateway does.

--- a/src/fleet/nodeexchange.cpp
+++ b/src/fleet/nodeexchange.cpp
@@ -90,6 +90,19 @@
     return isOwn ? std::span<const CandidateNode>(m_selfOnly) : std::span<const CandidateNode>();
 }
 
+std::vector<uint64_t> NodeExchange::liveIncarnations() const
+{
+    if (m_isIsolated)
+        return {};
+    std::vector<uint64_t> result { m_table.self().incarnation };
+    for (const auto& [address, entry] : m_table.others()) {
+        if (isAlive(address))
+            result.push_back(entry.state.incarnation);
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
 size_t NodeExchange::aliveCount() const { return m_isIsolated ? 0 : zones().count() - 1; }
 
 bool NodeExchange::isFullMesh() const { return zones().isFullMesh(); }
--- a/src/fleet/nodeexchange.h
+++ b/src/fleet/nodeexchange.h
@@ -74,6 +74,8 @@
     std::span<const CandidateNode> nodesInZone(std::string_view zone) const;
     // Number of live nodes, without this one.
     size_t aliveCount() const;
+    // Incarnations of live nodes and of this one, ordered. None if this node reaches no other and so can't tell.
+    std::vector<uint64_t> liveIncarnations() const;
     // Whether this node called a node without success since it last answered.
     bool hasFailed(std::string_view address) const;
     bool isRelay() const { return m_isRelay; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -210,6 +210,7 @@
                 m_context.pool.closeIdle(m_context.now());
                 refreshHostAddresses();
                 m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
+                m_context.suspicion.setLiveNodes(m_peers.liveIncarnations());
                 divideRateLimits();
                 m_context.balancer.backoffs().expire(m_context.now());
                 m_sessions.remove_if([](const auto& session) { return session.expired(); });
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -70,6 +70,7 @@
     // Addresses for callers of live nodes that take requests, and are not known to be cut off from the service.
     std::vector<std::string> nodesReaching(std::string_view service) const;
     size_t aliveCount() const { return m_exchange.aliveCount(); }
+    std::vector<uint64_t> liveIncarnations() const { return m_exchange.liveIncarnations(); }
     // Whether the given incarnation of a node, in the format of incarnationName(), is alive.
     bool isIncarnationAlive(std::string_view incarnation) const;
 
--- a/src/suspicion/sharedsuspects.cpp
+++ b/src/suspicion/sharedsuspects.cpp
@@ -210,7 +210,13 @@
     return m_assessment;
 }
 
-// The nodes that observed deaths have their turns in an order that all of them know.
+bool SharedSuspects::isAlive(uint64_t node) const
+{
+    return m_liveNodes.empty() || std::ranges::binary_search(m_liveNodes, node);
+}
+
+// The nodes that observed deaths and are still there have their turns in an order that all of them know. While their
+// views of who is there differ, two turns may come at the same time; that costs one trial more.
 bool SharedSuspects::isTrialDue(
     const Suspect& suspect, const Evidence& evidence, MonotonicTime stoppedAt, MonotonicTime now) const
 {
@@ -219,8 +225,8 @@
     if (isConfirmed || hasTried || !evidence.observers.contains(m_self))
         return false;
     auto order = [&](uint64_t observer) { return observer ^ suspect.id; };
-    auto before
-        = std::ranges::count_if(evidence.observers, [&](uint64_t observer) { return order(observer) < order(m_self); });
+    auto before = std::ranges::count_if(evidence.observers,
+        [&](uint64_t observer) { return order(observer) < order(m_self) && isAlive(observer); });
     return now >= stoppedAt + trialDelay + trialTurn * before;
 }
 
--- a/src/suspicion/sharedsuspects.h
+++ b/src/suspicion/sharedsuspects.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Kumquatpick {
@@ -31,7 +32,7 @@
 //   requests share. Whole requests that are stopped are among them.
 //
 // What is stopped runs nowhere, and so could not be cleared any more. Therefore one node tries it once: a sound run
-// clears it, and another death confirms the stop.
+// clears it, and another death confirms the stop. The nodes take turns; those that are gone have none.
 //
 // Not thread-safe.
 class SharedSuspects {
@@ -74,6 +75,8 @@
     std::vector<SuspicionCount> takeOwnChanges();
     bool hasUrgentChanges() const { return !m_changed.empty(); }
     void merge(const SuspicionCount&, MonotonicTime now);
+    // Ids of the nodes that are alive, ordered. Until they are known, all are taken to be.
+    void setLiveNodes(std::vector<uint64_t> ids) { m_liveNodes = std::move(ids); }
 
     bool isEmpty() const { return m_evidence.empty(); }
     size_t size() const { return m_evidence.size(); }
@@ -124,6 +127,7 @@
     Charge charge(const Suspect&, const Evidence&, MonotonicTime now) const;
     std::vector<Candidate> candidates(std::span<const StoppedRequest>, MonotonicTime now) const;
     const Assessment& assess(std::span<const StoppedRequest>, MonotonicTime now) const;
+    bool isAlive(uint64_t node) const;
     bool isTrialDue(const Suspect&, const Evidence&, MonotonicTime stoppedAt, MonotonicTime now) const;
 
     uint64_t m_self;
@@ -133,6 +137,7 @@
     std::unordered_map<Suspect, MonotonicTime, SuspectHash> m_soundRuns;
     std::set<Suspect> m_changed; // Suspects whose own counts changed.
     mutable Assessment m_assessment;
+    std::vector<uint64_t> m_liveNodes; // Ordered; empty until known.
 };
 
 } // namespace Kumquatpick
--- a/src/suspicion/suspicionstate.h
+++ b/src/suspicion/suspicionstate.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Kumquatpick {
@@ -73,6 +74,8 @@
     bool hasUrgentChanges() const { return m_hasUrgentChanges || m_shared.hasUrgentChanges(); }
     // Returns the suspects that became stopped.
     std::vector<Suspect> merge(std::span<const SuspicionCount>, MonotonicTime now);
+    // Ids of the nodes that are alive, ordered. Until they are known, all are taken to be.
+    void setLiveNodes(std::vector<uint64_t> ids) { m_shared.setLiveNodes(std::move(ids)); }
 
     size_t suspects() const { return m_suspects.size() + m_shared.size(); }
 
--- a/tests/fleet/nodesimulation.h
+++ b/tests/fleet/nodesimulation.h
@@ -67,6 +67,7 @@
         node.busy.clear();
         node.report = {};
         node.guard = guardOf(node.incarnation * 100'000 + size(index));
+        node.toldLiveNodes = {};
         round(index, node.life);
     }
     void freeze(int index, Milliseconds duration) { m_nodes[size(index)]->frozenUntil = now + duration; }
@@ -176,8 +177,15 @@
             , guard(guardOf(state.incarnation))
         {
         }
+        void tellGuardLiveNodes()
+        {
+            std::pair known { exchange.table().version(), exchange.aliveCount() };
+            if (std::exchange(toldLiveNodes, known) != known)
+                guard.setLiveNodes(exchange.liveIncarnations());
+        }
         NodeExchange exchange;
         SuspicionState guard;
+        std::pair<uint64_t, size_t> toldLiveNodes;
         NodeExchange::OwnReport report { .isReady = true };
         std::set<std::string> busy;
         MonotonicTime frozenUntil {};
@@ -289,6 +297,7 @@
     {
         Node& node = *m_nodes[size(index)];
         node.exchange.setOwnReport(node.report, now);
+        node.tellGuardLiveNodes();
         for (const SuspicionCount& count : node.guard.takeOwnChanges())
             node.exchange.publishSuspicion(count, now);
         for (const std::string& target : node.exchange.beginRound(now, m_random)) {
