Send a cold backend server no more than it takes of all nodes together

A server that has just started, or turned cold again, ends under more requests a second than its service's figure. No code read that figure or how long a server stays cold, and a zone that was taken back got its full share at once.

The rate is now dealt out to a few nodes for each cold server, as limits that servers announce are; nodes that were lost lately keep their shares, so that both sides of a partition agree. The servers of a zone that is taken back count as cold for their warm-up time. Calls without room are refused at once.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -41,8 +41,9 @@
 
 }
 
-Balancer::Balancer(std::string zone)
+Balancer::Balancer(std::string zone, WarmupBound warmupBound)
     : m_zone(std::move(zone))
+    , m_warmups(warmupBound)
 {
 }
 
@@ -99,7 +100,7 @@
     for (const auto& [id, target] : m_targets) {
         if (!isUsable(target, request, now))
             continue;
-        if (m_limits.admits(id, now))
+        if (m_limits.admits(id, now) && m_warmups.admits(id, now))
             usable.push_back(&target);
         else
             ++m_rateLimitExclusions;
@@ -144,6 +145,7 @@
 void Balancer::sendStarted(std::string_view hostId, MonotonicTime now)
 {
     m_limits.recordSend(hostId, now);
+    m_warmups.recordSend(hostId, now);
     auto found = m_targets.find(hostId);
     if (found == m_targets.end())
         return;
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "fleet/backoffs.h"
 #include "fleet/ratelimits.h"
+#include "fleet/warmuplimits.h"
 
 #include <cstdint>
 #include <map>
@@ -48,7 +49,7 @@
 // Avoids targets that failed or stalled. Not thread-safe. The caller passes the time in.
 class Balancer {
 public:
-    explicit Balancer(std::string zone);
+    explicit Balancer(std::string zone, WarmupBound = {});
 
     // Replaces the targets. State of targets that remain is kept.
     void setTargets(std::vector<ServingTarget>);
@@ -69,6 +70,9 @@
     // Rate limits that the targets announced; choose() respects them.
     RateLimits& limits() { return m_limits; }
     const RateLimits& limits() const { return m_limits; }
+    // What cold targets take; choose() respects it.
+    WarmupLimits& warmups() { return m_warmups; }
+    const WarmupLimits& warmups() const { return m_warmups; }
     // Backoffs that the targets requested; choose() respects them.
     Backoffs& backoffs() { return m_backoffs; }
     const Backoffs& backoffs() const { return m_backoffs; }
@@ -119,6 +123,7 @@
     std::map<std::string, Target, std::less<>> m_targets;
     std::map<std::string, uint32_t, std::less<>> m_remoteInFlight;
     RateLimits m_limits;
+    WarmupLimits m_warmups;
     Backoffs m_backoffs;
     uint64_t m_rateLimitExclusions = 0;
 };
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -37,6 +37,10 @@
     EngineTiming timing;
     uint32_t capacity = 0; // Concurrent requests per replica; 0 if it is taken from the hosts' entries.
 
+    // While a host is cold: requests per second from all nodes together; 0 if there is no limit.
+    double coldRequestsPerSecond = 0;
+    Milliseconds warmup {}; // For which a host is cold after its start.
+
     bool servesModels() const { return !models.empty(); }
     const ModelSpec* model(std::string_view name) const;
 };
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -87,6 +87,7 @@
     std::string zone;
     uint32_t capacity = 1;
     bool draining = false;
+    Milliseconds warmupLeft {}; // How much longer it is cold and takes few requests; 0 once it is warm.
     HostStatus status;
 
     bool operator==(const Host&) const = default;
--- a/src/fleet/ratelimits.cpp
+++ b/src/fleet/ratelimits.cpp
@@ -11,14 +11,7 @@
 
 namespace {
 
-    // Window over which a server's limit holds.
-    constexpr Milliseconds limitWindow { 4000 };
     constexpr Milliseconds bucketLength { 500 };
-    // A limit is shared by this many nodes plus one per request per second. Each sharer may accumulate one request, so
-    // more sharers could exceed the limit in a burst; fewer would leave it unused while one of them has no calls.
-    constexpr double minSharers = 2;
-    // Time over which a node may accumulate tokens of a high limit.
-    constexpr Milliseconds maxBurstTime { 500 };
     // Enough gossip rounds to reach all nodes.
     constexpr Milliseconds gossipDuration { 3000 };
     constexpr size_t maxGossipedLimits = 64;
@@ -30,23 +23,22 @@
 
     int64_t bucketOf(MonotonicTime at) { return at.time_since_epoch() / bucketLength; }
 
-    size_t sharerCount(double perSecond, size_t nodes)
-    {
-        return static_cast<size_t>(std::min(static_cast<double>(nodes), minSharers + std::floor(perSecond)));
-    }
-
-    double maxTokens(double share) { return std::max(1.0, share * toSeconds(maxBurstTime)); }
+}
 
-    // The sharers start in debt for the requests that all nodes sent before they knew of the limit, but none for more
-    // than the limit's window.
-    double initialTokens(double recentSends, size_t nodes, size_t sharers, double share)
-    {
-        double sentByAll = recentSends * static_cast<double>(nodes) / static_cast<double>(sharers);
-        double owed = sentByAll - share * toSeconds(limitWindow);
-        double maxOwed = std::max(0.0, share * toSeconds(limitWindow) - 1);
-        return -std::clamp(owed, 0.0, maxOwed);
-    }
+size_t RateLimits::sharerCount(double perSecond, size_t nodes) const
+{
+    double wanted = std::max(1.0, std::floor(m_policy.minSharers + m_policy.sharersPerRequest * perSecond));
+    return static_cast<size_t>(std::min(static_cast<double>(nodes), wanted));
+}
 
+// The sharers start in debt for the requests that all nodes sent before they knew of the limit, but none for more than
+// the limit's window.
+double RateLimits::initialTokens(double recentSends, size_t nodes, size_t sharers, double share) const
+{
+    double sentByAll = recentSends * static_cast<double>(nodes) / static_cast<double>(sharers);
+    double owed = sentByAll - share * toSeconds(m_policy.window);
+    double maxOwed = std::max(0.0, share * toSeconds(m_policy.window) - 1);
+    return -std::clamp(owed, 0.0, maxOwed);
 }
 
 void RateLimits::RecentSends::advance(int64_t bucket)
@@ -57,10 +49,10 @@
     newest = std::max(newest, bucket);
 }
 
-double RateLimits::tokensAt(const Limit& limit, MonotonicTime now)
+double RateLimits::tokensAt(const Limit& limit, MonotonicTime now) const
 {
     double filled = limit.tokens + limit.share * std::max(0.0, toSeconds(now - limit.filledAt));
-    return std::min(filled, maxTokens(limit.share));
+    return std::min(filled, std::max(1.0, limit.share * toSeconds(m_policy.maxBurst)));
 }
 
 bool RateLimits::updateLimit(Limit& limit, std::optional<double> perSecond, MonotonicTime reportedAt)
--- a/src/fleet/ratelimits.h
+++ b/src/fleet/ratelimits.h
@@ -22,6 +22,16 @@
     Milliseconds age {}; // Time since the server's answer.
 };
 
+// How a limit is divided among nodes.
+struct RateLimitPolicy {
+    // A limit is shared by this many nodes plus some per request per second. Each sharer may accumulate one request, so
+    // more sharers could exceed the limit in a burst; fewer would leave it unused while one of them has no calls.
+    double minSharers = 2;
+    double sharersPerRequest = 1;
+    Milliseconds maxBurst { 500 }; // Time over which a node may accumulate tokens of a high limit.
+    Milliseconds window { 4000 }; // Over which a server's limit holds.
+};
+
 // Rate limits announced by backend servers, each for all nodes together, and this node's share of them.
 //
 // Each limit is divided among a few live nodes chosen by rendezvous hashing; the other nodes send the server nothing.
@@ -33,6 +43,12 @@
 // caller passes the time in.
 class RateLimits {
 public:
+    RateLimits() = default;
+    explicit RateLimits(RateLimitPolicy policy)
+        : m_policy(policy)
+    {
+    }
+
     // Applies the limit in an answer to a request that was sent at sentAt. Returns whether the known limit changed.
     // An answer without a limit lifts it only if its request was sent after the limit was last announced, because
     // answers may arrive out of order.
@@ -73,10 +89,13 @@
         void advance(int64_t bucket);
     };
 
-    static double tokensAt(const Limit&, MonotonicTime now);
+    double tokensAt(const Limit&, MonotonicTime now) const;
+    size_t sharerCount(double perSecond, size_t nodes) const;
+    double initialTokens(double recentSends, size_t nodes, size_t sharers, double share) const;
     bool updateLimit(Limit&, std::optional<double> perSecond, MonotonicTime announcedAt);
     double recentSendCount(std::string_view hostId, MonotonicTime now);
 
+    RateLimitPolicy m_policy;
     std::map<std::string, Limit, std::less<>> m_limits; // By host.
     std::map<std::string, RecentSends, std::less<>> m_sends; // By host, including servers without a limit.
 };
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -52,7 +52,7 @@
         , platform(p)
         , disabledMechanisms(DisabledMechanisms::parse(s.disabledMechanisms).value_or(DisabledMechanisms()))
         , pool(ioContext.get_executor())
-        , balancer(s.zone)
+        , balancer(s.zone, s.warmupBound())
         , retries(s.retryLimits(), monotonicNow())
         , log(s.logDescriptor, s.name)
         , random(seededFromSystem())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,6 +181,7 @@
     m_context.routes = std::make_shared<const RouteTable>(std::move(newConfig));
     m_context.configText = text;
     logConfig(m_context, source, configAge());
+    applyColdRates();
     retryHostsWithoutService();
 }
 
@@ -265,6 +266,7 @@
     Metrics& metrics = m_context.metrics;
     metrics.set("loop_longest_pause_seconds", toSeconds(m_longestPause));
     metrics.set("config_age_seconds", toSeconds(configAge()));
+    metrics.set("cold_servers", static_cast<double>(m_context.balancer.warmups().size()));
     metrics.set("limited_servers", static_cast<double>(m_context.balancer.limits().size()));
     metrics.set("choices_without_limited_server", static_cast<double>(m_context.balancer.rateLimitExclusions()));
     metrics.set("backed_off_servers", static_cast<double>(m_context.balancer.backoffs().size()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,9 @@
     void adoptConfig(std::string_view text, std::string_view source);
     bool applyHostRecord(const LogRecord&);
     bool applyHostEntry(const std::string& key, Host);
+    void noteWarmup(const Host&);
+    void assumeColdZone(std::string_view zone);
+    void applyColdRates();
     void retryHostsWithoutService();
     void removeUnlistedHosts();
     void handleUnreadableEntry(const std::string& key, const Error&);
--- a/src/gateway/gatewayevacuations.cpp
+++ b/src/gateway/gatewayevacuations.cpp
@@ -64,6 +64,7 @@
             { { "zone", zone }, { "source", source }, { "as_of", evacuations.asOf() },
                 { "evacuated_ms", std::chrono::round<Milliseconds>(now - since).count() } });
         m_context.metrics.set(fmt::format("zone_evacuated_seconds{{zone=\"{}\"}}", zone), 0);
+        assumeColdZone(zone);
     }
     m_nextTargets = now;
     refreshTargets();
--- a/src/gateway/gatewayhosts.cpp
+++ b/src/gateway/gatewayhosts.cpp
@@ -72,6 +72,10 @@
     bool isBack = m_pendingRemovals.erase(key) > 0;
     isBack = m_unreadableHosts.erase(key) > 0 || isBack;
     m_hostsWithoutService.erase(key);
+    bool wasCold = m_context.balancer.warmups().isCold(host.id, m_context.now());
+    noteWarmup(host);
+    // It changes with each heartbeat, and nothing but the warm-up limits depends on it.
+    bool isCold = std::exchange(host.warmupLeft, Milliseconds(0)) > Milliseconds(0);
     const Host* known = m_context.hosts.find(host.id);
     // Those that read the store log it for all: a line for each host on each node is most of what a starting fleet
     // writes.
@@ -79,7 +83,40 @@
         m_context.log.write("host_listed",
             { { "host", host.id }, { "service", host.service }, { "draining", host.draining }, { "zone", host.zone },
                 { "domain", host.status.domain } });
-    return m_context.hosts.applyListEntry(std::move(host), m_context.now()) || isBack;
+    return m_context.hosts.applyListEntry(std::move(host), m_context.now()) || isBack || isCold || wasCold;
+}
+
+void Gateway::noteWarmup(const Host& host)
+{
+    if (!m_context.balancer.warmups().reportCold(host.id, host.service, host.warmupLeft, m_context.now()))
+        return;
+    m_context.metrics.count("server_warmups_total");
+    if (m_hostFollower.mayReadStore())
+        m_context.log.writeRoutine("server_warmup",
+            { { "host", host.id }, { "service", host.service }, { "left_ms", host.warmupLeft.count() } });
+}
+
+// The servers of a zone that was evacuated may be cold, and their entries may be older than that.
+void Gateway::assumeColdZone(std::string_view zone)
+{
+    if (!m_context.routes)
+        return;
+    size_t servers = 0;
+    for (const auto& [id, host] : m_context.hosts.hosts()) {
+        const ServiceSpec* service = m_context.routes->config().service(host.service);
+        if (host.zone != zone || !service || service->coldRequestsPerSecond <= 0)
+            continue;
+        m_context.balancer.warmups().assumeCold(id, host.service, service->warmup, m_context.now());
+        ++servers;
+    }
+    if (servers > 0)
+        m_context.log.write("zone_warmup", { { "zone", zone }, { "servers", servers } });
+}
+
+void Gateway::applyColdRates()
+{
+    for (const ServiceSpec& service : m_context.routes->config().services)
+        m_context.balancer.warmups().setRate(service.name, service.coldRequestsPerSecond, m_context.now());
 }
 
 void Gateway::retryHostsWithoutService()
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -60,6 +60,10 @@
 {
     std::string self = m_context.isStopping() ? std::string() : m_context.settings.peers.toString();
     m_context.balancer.limits().assignShares(m_peers.nodesInZone({}), self, m_context.now());
+    // A node that knows few others would take too many shares.
+    if (!m_peers.knowsOthers())
+        self.clear();
+    m_context.balancer.warmups().assignShares(m_peers.nodesInZone({}), self, m_context.now());
 }
 
 void Gateway::refreshPeersInFlight()
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -119,6 +119,16 @@
                         .help = "additional retries that the fleet may make in each window",
                         .unit = "requests",
                         .fraction = Fraction::RoundedDown },
+                    { .flag = "warmup-overrun",
+                        .into = &s.warmupOverrun,
+                        .help = "what a cold server takes in a second, as a multiple of its rate",
+                        .accepts = isRatio,
+                        .expected = "a number, at least 0" },
+                    { .flag = "warmup-allowance",
+                        .into = &s.warmupAllowance,
+                        .help = "requests that a cold server takes in a second beyond that",
+                        .unit = "requests",
+                        .fraction = Fraction::RoundedDown },
                     { .flag = "queue-per-replica",
                         .into = &s.queuePerReplica,
                         .help = "requests that may queue at a replica beyond its slots",
@@ -175,6 +185,11 @@
     return { std::strtod(retryRatio.c_str(), nullptr), static_cast<double>(retryAllowance), retryWindow };
 }
 
+WarmupBound GatewaySettings::warmupBound() const
+{
+    return { std::strtod(warmupOverrun.c_str(), nullptr), static_cast<double>(warmupAllowance) };
+}
+
 std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(
     std::span<const std::string> arguments, const Environment& environment)
 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/settings.h"
 #include "fleet/retryallowance.h"
+#include "fleet/warmuplimits.h"
 
 #include <span>
 #include <string>
@@ -33,6 +34,8 @@
     Milliseconds entriesLifetime { 1000 }; // How long callers may use a list of nodes.
     std::string retryRatio = "0.2"; // Share of first sends; decimal.
     std::chrono::seconds retryWindow { 10 };
+    std::string warmupOverrun = "1.5"; // What a cold server takes in any second, as a multiple of its rate; decimal.
+    uint64_t warmupAllowance = 5; // Requests that it takes beyond that.
     uint64_t retryAllowance = 100; // Additional retries of the whole fleet per window.
     uint64_t queuePerReplica = 2; // Calls that may queue at a replica beyond its slots and still meet their deadlines.
 
@@ -45,6 +48,7 @@
     // Data of a node that reads the list for others is used up to this age.
     Milliseconds maxHostListAge() const;
     RetryLimits retryLimits() const;
+    WarmupBound warmupBound() const;
     // The default if the setting is missing or invalid, because a node must serve callers in any case.
     double cpuShareOrDefault() const;
     bool isCpuShareReadable() const;
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -74,6 +74,8 @@
     EXPECT_EQ(accepted("config-within-ms", "2000.9").configWithin, Milliseconds(2000));
     EXPECT_EQ(accepted("leave-within-ms", "1333.3").leaveWithin, Milliseconds(1333));
     EXPECT_EQ(accepted("evacuate-within-ms", "5000.5").evacuateWithin, Milliseconds(5000));
+    EXPECT_EQ(accepted("warmup-allowance", "5.9").warmupBound().allowance, 5);
+    EXPECT_DOUBLE_EQ(accepted("warmup-overrun", "1.25").warmupBound().overrun, 1.25);
     EXPECT_EQ(accepted("heartbeat-ms", "1200.1").heartbeat, Milliseconds(1201));
     EXPECT_DOUBLE_EQ(accepted("retry-ratio", "1.5").retryLimits().ratio, 1.5);
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -130,6 +130,40 @@
     EXPECT_EQ(std::get<Error>(later).code, ErrorCode::NotFound);
 }
 
+TEST(PlatformCodec, ReadsHowLongAHostIsColdAndWhatItTakes)
+{
+    auto leftOf = [](const json& left) {
+        json entry = listEntry();
+        entry["warmupLeftMs"] = left;
+        return std::get<Host>(codec.host("i-1", entry.dump())).warmupLeft;
+    };
+    EXPECT_EQ(leftOf(1200), Milliseconds(1200));
+    EXPECT_EQ(leftOf(0.5), Milliseconds(1));
+    EXPECT_EQ(leftOf(-1), Milliseconds(0));
+    EXPECT_EQ(leftOf(1e300), Milliseconds(0)) << "no duration";
+    auto rateOf = [](const json& rate) {
+        json config { { "version", 1 }, { "routes", json::array() },
+            { "services", { { { "name", "m" }, { "warmupPerS", rate }, { "warmupS", 3.5 } } } } };
+        return std::get<FleetConfig>(codec.config(config.dump())).services[0].coldRequestsPerSecond;
+    };
+    EXPECT_EQ(rateOf(17.5), 17.5);
+    EXPECT_EQ(rateOf(-3), 0);
+    EXPECT_EQ(rateOf("many"), 0) << "the rest of the configuration holds";
+    EXPECT_EQ(rateOf(nullptr), 0);
+}
+
+TEST(PlatformCodec, ReadsRequestsToEvacuateAZone)
+{
+    EXPECT_EQ(codec.evacuatedZone("evacuate/z-1"), std::optional<std::string>("z-1"));
+    EXPECT_EQ(codec.evacuatedZone("evacuate/"), std::optional<std::string>(""));
+    EXPECT_FALSE(codec.evacuatedZone("config"));
+    EXPECT_FALSE(codec.evacuatedZone("evacuate"));
+    EXPECT_FALSE(codec.evacuationProblem("{}"));
+    EXPECT_FALSE(codec.evacuationProblem(R"({"reason":"repair"})"));
+    for (const char* text : { "", "[]", "true", "{", "\xff\xfe" })
+        EXPECT_TRUE(codec.evacuationProblem(text)) << text;
+}
+
 TEST(PlatformCodec, RejectsInvalidHostEntries)
 {
     ASSERT_TRUE(isHost(listEntry()));
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -339,7 +339,7 @@
         result["zone"] = m_options.zone;
         result["capacity"] = 4;
         result["version"] = "v1";
-        result["warmupLeftMs"] = 0;
+        result["warmupLeftMs"] = warmupLeft.load();
         result["state"] = isDraining ? "draining" : "ready";
     }
     return result;
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -176,6 +176,7 @@
     // The streams that it ran, by attempt id; of a resumed one the last run.
     std::map<std::string, RunRecord> streamRuns();
     std::atomic<bool> isDraining { false };
+    std::atomic<int> warmupLeft { 0 }; // Milliseconds for which it is cold, in its entry.
     std::atomic<bool> isFailing { false }; // Answers every request with 500.
     std::atomic<int> ordersToDelay { 0 }; // Number of orders to carry out only after the sender has timed out.
     std::atomic<int> delayedOrders { 0 }; // Delayed orders that were carried out or refused.
