--- a/tests/fleet/hosttable_test.cpp
+++ b/tests/fleet/hosttable_test.cpp
@@ -274,4 +274,32 @@
     EXPECT_TRUE(table.takeGone().empty());
 }
 
+// A head whose entry expired may be back; one that removed its entry will end. Neither takes new requests.
+TEST(HostTable, TellsExpiredFromWithdrawnHeads)
+{
+    for (bool isExpired : { true, false }) {
+        HostTable table;
+        table.setHeartbeat(Milliseconds(1200));
+        Host head = hostWith(memberOf(1, MemberState::Open));
+        Host member = hostWith(memberOf(1, MemberState::Ready));
+        member.id = "b";
+        member.address = { "10.0.0.2", 1 };
+        member.status.membership->rank = 1;
+        table.applyListEntry(member, start);
+        table.applyListEntry(head, start);
+        if (!isExpired)
+            table.applyListEntry(head, start + Milliseconds(3000));
+        table.setListReadAt(start + Milliseconds(3700));
+        table.removeListEntry(head.id);
+        ASSERT_EQ(table.replicas().size(), 1u);
+        ReplicaView view = table.replicas()[0];
+        EXPECT_EQ(view.head, nullptr);
+        ASSERT_NE(view.unlistedHead, nullptr);
+        EXPECT_EQ(view.isHeadWithdrawn, !isExpired);
+        EXPECT_TRUE(view.isComplete(2));
+        table.applyReport(head.id, memberOf(1, MemberState::Ready, 5), start + Milliseconds(4000));
+        EXPECT_EQ(table.replicas()[0].unlistedHead, nullptr) << "it reports that it serves no more";
+    }
+}
+
 } // namespace Kumquatpick
--- a/tests/fleet/loadaggregator_test.cpp
+++ b/tests/fleet/loadaggregator_test.cpp
@@ -44,4 +44,19 @@
     EXPECT_FALSE(aggregator.hasNodeReports(later));
 }
 
+// The age at which a report arrives grows until the next one.
+TEST(LoadAggregator, ProgressAgesAndTheLatestCounts)
+{
+    LoadAggregator aggregator;
+    NodeLoads early;
+    early.progressAges = { { "head-1", Milliseconds(100) }, { "head-2", Milliseconds(3900) } };
+    NodeLoads late;
+    late.progressAges = { { "head-1", Milliseconds(300) } };
+    aggregator.applyNodeReport("a", early, start);
+    aggregator.applyZoneTotal("howrah", late, start + Milliseconds(400));
+    AgesByHost ages = aggregator.totalExcept("b", start + Milliseconds(400)).progressAges;
+    EXPECT_EQ(ages, (AgesByHost { { "head-1", Milliseconds(300) } })) << "the other one is too old by now";
+    EXPECT_EQ(aggregator.zoneTotal(start).progressAges.at("head-2"), Milliseconds(3900));
+}
+
 } // namespace Kumquatpick
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -38,6 +38,7 @@
         message.anyCallSeen = true;
         message.inFlight = { { "host-a", 3 } };
         message.unmetDemand = { { "large", 1.5 } };
+        message.progressAges = { { "host-a", Milliseconds(70) } };
         message.limits = { { "host-a", 1.5, Milliseconds(40) }, { "host-b", std::nullopt, Milliseconds(50) } };
         message.nodes = { stateOf(2), stateOf(3) };
         message.nodes[1].isSilent = true;
