Bound late calls by the fastest times, and try calls where nothing was observed

Absurd timing figures would have refused all calls for ever, because nothing would have been observed. Calls that are late already were refused where there was room, since their bound was below what an idle head took.

--- a/src/fleet/callgate.cpp
+++ b/src/fleet/callgate.cpp
@@ -1,6 +1,7 @@
 #include "fleet/callgate.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Kumquatpick {
 
@@ -12,8 +13,9 @@
     constexpr double slowHeadTime = 2;
     // Above this share of its slots, a head needs the rest for calls that arrive before the counts are exchanged again.
     constexpr double spareLoad = 0.75;
-    // Of the target. Calls that are late already wait less than those in time, so that they do not take their room.
-    constexpr double spareTime = 0.8;
+    // Of what the target exceeds the fastest times by. Calls that others should precede wait at most this long, so that
+    // they do not take the room of those.
+    constexpr double spareTime = 0.5;
     // Of the target. A prediction includes a margin; where there is room, a call that may be late is tried.
     constexpr double doubtfulTime = 1.5;
     // A caller that leaves has cost the head its prompt, so predictions must keep some distance.
@@ -39,8 +41,9 @@
     std::vector<GateStep> steps;
     auto fullTargetMs = static_cast<double>(inputs.target.count());
     bool isLate = inputs.isCallerRetry || targetMs <= 0;
+    double spareMs = inputs.fastestMs + spareTime * std::max(0.0, fullTargetMs - inputs.fastestMs);
     if (!isLate && inputs.isOverShare)
-        steps.push_back({ std::min(targetMs * spareTime, latestMs), 1, true });
+        steps.push_back({ std::min({ spareMs, targetMs, latestMs }), 1, true });
     else if (!isLate) {
         steps.push_back({ std::min(targetMs, latestMs), 1, true });
         steps.push_back({ std::min(targetMs * doubtfulTime, latestMs), spareLoad, true });
@@ -51,7 +54,10 @@
         steps.push_back({ std::min(slowHeadTime * inputs.fastestMs, latestMs), 1, false });
     // Late already, so the call takes only room that calls in time do not need.
     if (inputs.elapsed.count() > 0 || isLate)
-        steps.push_back({ std::min(spareTime * fullTargetMs, latestMs), spareLoad, false });
+        steps.push_back({ std::min({ spareMs, fullTargetMs, latestMs }), spareLoad, false });
+    // Nothing shows whether the prediction is right, and only a call can.
+    if (inputs.fastestMs <= 0)
+        steps.push_back({ std::numeric_limits<double>::infinity(), spareLoad, false });
     return steps;
 }
 
--- a/src/fleet/firsteventforecast.cpp
+++ b/src/fleet/firsteventforecast.cpp
@@ -27,6 +27,7 @@
     constexpr double deviationShare = 0.1;
     constexpr double fastestFall = 0.3;
     constexpr double fastestRise = 0.02;
+    constexpr Milliseconds fastestLifetime { 2000 };
     constexpr size_t maxHeads = 4096; // Heads without calls are forgotten beyond this.
 
     double toMilliseconds(MonotonicTime::duration duration)
@@ -112,7 +113,11 @@
 double FirstEventForecast::modelDelayMs(std::string_view key, MonotonicTime now) const
 {
     auto model = m_models.find(key);
-    return model == m_models.end() ? 0 : decayed(model->second.delayMs, now - model->second.observedAt, modelHalving);
+    if (model == m_models.end())
+        return 0;
+    double delay = model->second.delayMs;
+    // Figures that are too pessimistic do not become right with time.
+    return delay < 0 ? delay : decayed(delay, now - model->second.observedAt, modelHalving);
 }
 
 double FirstEventForecast::headDelayMs(const Head& head, double usualDelayMs, MonotonicTime now) const
@@ -137,15 +142,15 @@
     auto known = m_heads.find(head.hostId);
     if (known != m_heads.end())
         result->delayMs += headDelayMs(known->second, result->delayMs + result->marginMs, now);
-    // It may be faster than the engine's figures, but not without any time.
-    result->delayMs = std::max(result->delayMs, -result->engineMs / 2);
+    result->delayMs = std::max(result->delayMs, -result->engineMs);
     return result;
 }
 
-double FirstEventForecast::fastestMs(std::string_view service, std::string_view model) const
+double FirstEventForecast::fastestMs(std::string_view service, std::string_view model, MonotonicTime now) const
 {
     auto known = m_models.find(modelKey(service, model));
-    return known == m_models.end() ? 0 : known->second.fastestMs;
+    bool isRecent = known != m_models.end() && now - known->second.observedAt <= fastestLifetime;
+    return isRecent ? known->second.fastestMs : 0;
 }
 
 uint64_t FirstEventForecast::sendStarted(const HeadLoad& load, uint32_t promptTokens, MonotonicTime now)
@@ -178,12 +183,13 @@
 void FirstEventForecast::observe(Head& head, double engineMs, double observedMs, MonotonicTime now)
 {
     Model& model = m_models[head.model];
-    double delay = decayed(model.delayMs, now - model.observedAt, modelHalving);
+    bool isFirst = model.observedAt == MonotonicTime {};
+    double delay = modelDelayMs(head.model, now);
     double error = observedMs - engineMs - delay;
     double maxError = maxStep * (engineMs + std::max(0.0, delay));
     double step = std::clamp(error, -maxError, maxError);
-    model.deviationMs += deviationShare * (std::min(std::abs(error), maxError) - model.deviationMs);
-    model.delayMs = delay + step * (error > 0 ? riseShare : fallShare);
+    model.deviationMs += deviationShare * (std::abs(step) - model.deviationMs);
+    model.delayMs = delay + step * (error > 0 ? riseShare : isFirst ? 1 : fallShare);
     model.observedAt = now;
     double headDelay = decayed(head.delayMs, now - head.observedAt, headHalving);
     head.delayMs = std::max(0.0, headDelay + headShare * (error - headDelay));
--- a/src/fleet/firsteventforecast.h
+++ b/src/fleet/firsteventforecast.h
@@ -47,7 +47,7 @@
     std::optional<ForecastedTime> predict(const HeadLoad&, uint32_t promptTokens, MonotonicTime now) const;
     // The shortest times to the first event that were lately observed for the model; 0 if none were. If no head is
     // faster, waiting for a faster one is of no use.
-    double fastestMs(std::string_view service, std::string_view model) const;
+    double fastestMs(std::string_view service, std::string_view model, MonotonicTime now) const;
 
     // A call was sent. Returns the id of the send, or 0 if no prediction can be made.
     uint64_t sendStarted(const HeadLoad&, uint32_t promptTokens, MonotonicTime now);
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -217,7 +217,7 @@
     TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
     std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
         shares && shares->isOverShare(m_team->name, now), m_isCallerRetry,
-        m_context.forecast.fastestMs(m_service, m_call.model) });
+        m_context.forecast.fastestMs(m_service, m_call.model, now) });
     m_isRefusedByForecast = false;
     if (steps.empty())
         return m_context.balancer.choose(request, now, m_context.random);
--- a/tests/fleet/balancer_test.cpp
+++ b/tests/fleet/balancer_test.cpp
@@ -177,4 +177,42 @@
     EXPECT_GT(m_balancer.rateLimitExclusions(), 0u);
 }
 
+TEST_F(BalancerTest, ChoosesOnlyTargetsPredictedInTime)
+{
+    FirstEventForecast forecast;
+    forecast.setTiming("writers",
+        { .stepMs = 10,
+            .perSequenceMs = 1,
+            .promptTokensPerSecond = 10'000,
+            .usualPromptTokens = 100,
+            .usualAnswerTokens = 20 });
+    m_balancer.setTargets({ headOf("a"), headOf("b") });
+    for (int i = 0; i < 5; ++i)
+        m_balancer.sendStarted("a", start);
+    ChoiceRequest request { "writers", "large", {}, 4 };
+    // An empty head takes 1.5 steps of 11 ms and 10 ms for the prompt; at the full one, two calls wait for a slot.
+    request.firstEvent = { &forecast, 100, 50, 1 };
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(m_balancer.choose(request, start, m_random), "b");
+    request.firstEvent.maxMs = 20;
+    EXPECT_EQ(m_balancer.choose(request, start, m_random), "");
+    EXPECT_NEAR(m_balancer.shortestFirstEventMs(request, start).value_or(0), 26.5, 0.1);
+    request.firstEvent.promptTokens = 10'000;
+    request.firstEvent.maxMs = 50;
+    EXPECT_EQ(m_balancer.choose(request, start, m_random), "b") << "a long prompt does not count against its call";
+    request.firstEvent.maxLoad = 0.2;
+    EXPECT_EQ(m_balancer.choose(request, start, m_random), "") << "one of four slots is more than a fifth";
+}
+
+// Services without timing figures are served by the number of calls alone.
+TEST_F(BalancerTest, IgnoresBoundsWithoutPredictions)
+{
+    FirstEventForecast forecast;
+    m_balancer.setTargets({ headOf("a") });
+    ChoiceRequest request { "writers", "large", {}, 0 };
+    request.firstEvent = { &forecast, 100, 1, 0.1 };
+    EXPECT_EQ(m_balancer.choose(request, start, m_random), "a");
+    EXPECT_FALSE(m_balancer.shortestFirstEventMs(request, start));
+}
+
 } // namespace Kumquatpick
--- a/tests/fleet/callgate_test.cpp
+++ b/tests/fleet/callgate_test.cpp
@@ -8,7 +8,10 @@
 
     GateInputs usualCall()
     {
-        return { .target = Milliseconds(250), .targetGap = Milliseconds(200), .timeLeft = Milliseconds(6000) };
+        return { .target = Milliseconds(250),
+            .targetGap = Milliseconds(200),
+            .timeLeft = Milliseconds(6000),
+            .fastestMs = 150 };
     }
 
 }
@@ -42,6 +45,26 @@
     }
 }
 
+TEST(CallGate, HoldsTeamsOverTheirShareToLessTime)
+{
+    GateInputs call = usualCall();
+    call.fastestMs = 150;
+    call.isOverShare = true;
+    for (const GateStep& step : gateSteps(call)) {
+        EXPECT_GT(step.maxFirstEventMs, 150);
+        EXPECT_LT(step.maxFirstEventMs, 250);
+    }
+}
+
+// A bound below what even an idle head takes would refuse all retries, also where there is room.
+TEST(CallGate, BoundsLateCallsByTheFastestTimes)
+{
+    GateInputs call = usualCall();
+    call.fastestMs = 220;
+    call.isCallerRetry = true;
+    EXPECT_GT(gateSteps(call).front().maxFirstEventMs, 220);
+}
+
 TEST(CallGate, BoundsTheQueuesWhereNoHeadIsFastEnough)
 {
     GateInputs call = usualCall();
@@ -66,6 +89,15 @@
         EXPECT_LT(step.maxFirstEventMs, 100);
 }
 
+// Absurd timing figures would otherwise refuse all calls for ever, because nothing would be observed.
+TEST(CallGate, TriesHeadsWithRoomIfNothingWasObserved)
+{
+    GateInputs call = usualCall();
+    call.fastestMs = 0;
+    EXPECT_GT(gateSteps(call).back().maxFirstEventMs, 1e9);
+    EXPECT_LT(gateSteps(call).back().maxLoad, 1);
+}
+
 TEST(CallGate, HasNoBoundWithoutATarget)
 {
     GateInputs call = usualCall();
--- a/tests/fleet/firsteventforecast_test.cpp
+++ b/tests/fleet/firsteventforecast_test.cpp
@@ -114,7 +114,14 @@
     m_forecast.tick(start + Milliseconds(300));
     uint64_t send = m_forecast.sendStarted(head(0), 0, start);
     m_forecast.callerLeft("a", send, start + Milliseconds(300));
-    EXPECT_NEAR(m_forecast.fastestMs("writers", "small"), 600, 1);
+    EXPECT_NEAR(m_forecast.fastestMs("writers", "small", start + Milliseconds(700)), 600, 1);
+}
+
+TEST_F(FirstEventForecastTest, ForgetsFastTimesThatAreLongAgo)
+{
+    observe(150, start);
+    EXPECT_GT(m_forecast.fastestMs("writers", "small", start + Milliseconds(500)), 0);
+    EXPECT_EQ(m_forecast.fastestMs("writers", "small", start + std::chrono::seconds(5)), 0);
 }
 
 TEST_F(FirstEventForecastTest, PredictsNothingWithoutUsableFigures)
--- a/tests/fleet/headsimulation.h
+++ b/tests/fleet/headsimulation.h
@@ -43,6 +43,7 @@
     double lostHeads = 0; // Share.
     double cutNodes = 0; // Share of the nodes that neither send nor receive counts.
     Milliseconds countAge { 300 };
+    double figuresFactor = 1; // On the engine's times, in the figures that the nodes are given.
     double baseMs = 100; // On the way and in the engine, not in its timing figures.
     double longPrompts = 0; // Share of the calls whose prompt is five times as long.
     Milliseconds target { 250 };
@@ -69,7 +70,10 @@
         for (int i = 0; i < m_load.nodes; ++i) {
             m_nodes.push_back(std::make_unique<Node>());
             m_nodes.back()->isCut = i < m_load.cutNodes * m_load.nodes;
-            m_nodes.back()->forecast.setTiming("writers", m_load.timing);
+            EngineTiming told = m_load.timing;
+            told.stepMs *= m_load.figuresFactor;
+            told.promptTokensPerSecond /= m_load.figuresFactor;
+            m_nodes.back()->forecast.setTiming("writers", told);
         }
         setTargets();
     }
@@ -210,7 +214,7 @@
         node.shares.recordAsked(team, m_now);
         bool isOverShare = m_load.usesShares && node.shares.isOverShare(team, m_now);
         for (const GateStep& step : gateSteps({ m_load.target, Milliseconds(200), Milliseconds(0), timeLeft,
-                 isOverShare, call.isRetry, node.forecast.fastestMs("writers", "small") })) {
+                 isOverShare, call.isRetry, node.forecast.fastestMs("writers", "small", m_now) })) {
             request.firstEvent = { &node.forecast, call.promptTokens, step.maxFirstEventMs, step.maxLoad };
             std::string id = node.balancer.choose(request, m_now, m_random);
             if (id.empty())
--- a/tests/fleet/overload_test.cpp
+++ b/tests/fleet/overload_test.cpp
@@ -66,12 +66,22 @@
 {
     SimulatedLoad load = usualLoad();
     load.baseMs = 400;
-    CallTotals before = play(load, "slow heads", false);
+    play(load, "slow heads", false);
     CallTotals after = play(load, "slow heads", true);
     EXPECT_EQ(after.inTime, 0);
     EXPECT_GE(after.share(after.late), 0.95);
 }
 
+TEST(Overload, ServesCallsThoughTheTimingFiguresAreAbsurd)
+{
+    for (double factor : { 0.05, 20.0 }) {
+        SimulatedLoad load = usualLoad();
+        load.figuresFactor = factor;
+        CallTotals totals = play(load, "absurd figures", true);
+        EXPECT_GE(totals.share(totals.inTime), 0.9) << factor;
+    }
+}
+
 TEST(Overload, BearsOldCountsOfManyNodes)
 {
     for (int nodes : { 78, 130 }) {
--- a/tests/fleet/teamshares_test.cpp
+++ b/tests/fleet/teamshares_test.cpp
@@ -26,6 +26,9 @@
     {
         constexpr Milliseconds tick { 50 };
         TeamShares shares;
+        std::vector<std::string> names;
+        for (size_t t = 0; t < teams.size(); ++t)
+            names.push_back("team" + std::to_string(t));
         std::vector<size_t> order(teams.size());
         std::iota(order.begin(), order.end(), 0);
         double free = 0;
@@ -41,7 +44,7 @@
                     any = false;
                     for (size_t t : order) {
                         Team& team = teams[t];
-                        std::string name = std::to_string(t);
+                        const std::string& name = names[t];
                         if (team.pending < 1 || (!isOver && shares.isOverShare(name, now)))
                             continue;
                         any = true;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -16,6 +16,7 @@
             {"name":"s","host":"a.example","pathPrefix":"/y/","type":"idempotent","timeoutMs":1500,"service":"p",
             "maxAttempts":3,"public":true}],
         "services":[{"name":"m","healthCheck":"/h","maxConnections":9,"runtime":{"capacity":17,"loadsPerS":5.0,
+            "step_ms":7.5,"per_seq_ms":0.1,"read_per_s":45000.0,"context_per_k":0.01,"stride":6,
             "loads_at_once":7,"modelList":[{"name":"big","size":4,"fraction":0.5,"pace":1.0,"loadS":16.0,"warmS":1.6}]}},
             {"name":"p","healthCheck":"/h","maxConnections":9}],
         "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":30,"idleTimeoutMs":40},
@@ -72,6 +73,11 @@
     EXPECT_EQ(config.version, 7u);
     ASSERT_EQ(config.routes.size(), 2u);
     EXPECT_TRUE(config.routes[0].streaming && config.routes[0].resumable && !config.routes[0].idempotent);
+    EXPECT_EQ(config.routes[0].targetGap, Milliseconds(300));
+    EXPECT_EQ(config.routes[1].targetGap, Milliseconds(0));
+    EXPECT_EQ(config.services[0].timing.stepsPerPass, 6u);
+    EXPECT_EQ(config.services[0].timing.contextMsPerThousand, 0.01);
+    EXPECT_EQ(config.services[1].timing.stepsPerPass, 1u);
     EXPECT_EQ(config.routes[0].services.size(), 2u);
     EXPECT_EQ(config.routes[0].timeout, Milliseconds(8000));
     EXPECT_TRUE(config.routes[1].idempotent && config.routes[1].isPublic);
