Prefer backend servers to which a connection is idle

A server closes a connection that was idle for 1.5 s, and each node spread its few calls a second over all heads.

Change: the balancer draws one target from all, as before, and one from those to which this node holds an idle connection, by the same weights; the second is taken unless its load is more than a tenth of its places higher. How long servers keep idle connections is learned by service (IdleLimits): announced, or seen open and closed. A call that must not run twice still uses only connections idle for at most 0.3 s, but no longer closes the longer idle ones. Mechanism warm-connections; metric server_connections_total by service, kept or new.

Weighed: a few fixed heads of each node by rendezvous hashing.

The pool's tests were run by hand against the release library; gateway_test as a whole was not built.

--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -38,6 +38,8 @@
     // nodes).
     constexpr size_t sampledTargets = 2;
     constexpr double minFreeShare = 0.05; // Of a target's capacity; a full target is still chosen occasionally.
+    // Of a target's capacity: by how much a preferred target may be loaded more than the one chosen otherwise.
+    constexpr double preferredExcess = 0.1;
 
 }
 
@@ -104,25 +106,39 @@
         else
             ++m_rateLimitExclusions;
     }
-    for (size_t i = 0; i < std::min(sampledTargets, usable.size()); ++i)
-        std::swap(usable[i], usable[i + random() % (usable.size() - i)]);
-    usable.resize(std::min(sampledTargets, usable.size()));
     if (usable.empty())
         return {};
+    const Target& chosen = sample(usable, random);
+    std::erase_if(usable, [&](const Target* target) {
+        return std::ranges::find(request.preferredHosts, target->serving.hostId) == request.preferredHosts.end();
+    });
+    if (usable.empty())
+        return chosen.serving.hostId;
+    const Target& preferred = sample(std::move(usable), random);
+    // A target that failed is drawn seldom, and must be tried then, as only a success ends its avoidance.
+    bool isOverloaded = expectedLoad(preferred) > expectedLoad(chosen) - chosen.failures + preferredExcess;
+    return (isOverloaded ? chosen : preferred).serving.hostId;
+}
+
+const Balancer::Target& Balancer::sample(std::vector<const Target*> targets, Random& random) const
+{
+    for (size_t i = 0; i < std::min(sampledTargets, targets.size()); ++i)
+        std::swap(targets[i], targets[i + random() % (targets.size() - i)]);
+    targets.resize(std::min(sampledTargets, targets.size()));
     std::vector<double> weights;
     double total = 0;
-    for (const Target* target : usable) {
+    for (const Target* target : targets) {
         double free = std::max(minFreeShare, 1 + 1.0 / target->serving.capacity - expectedLoad(*target));
         weights.push_back(free * free);
         total += free * free;
     }
     double draw = std::uniform_real_distribution<double>(0, total)(random);
-    for (size_t i = 0; i + 1 < usable.size(); ++i) {
+    for (size_t i = 0; i + 1 < targets.size(); ++i) {
         if (draw < weights[i])
-            return usable[i]->serving.hostId;
+            return *targets[i];
         draw -= weights[i];
     }
-    return usable.back()->serving.hostId;
+    return *targets.back();
 }
 
 std::optional<MonotonicTime> Balancer::allBackedOffUntil(
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -42,6 +42,7 @@
     std::string_view model;
     std::span<const std::string> excludedHosts; // Hosts that this request has already tried.
     uint32_t queueLimit = 0; // Requests that may queue at the target beyond its capacity.
+    std::span<const std::string> preferredHosts {}; // Chosen first unless they are loaded more than others.
 };
 
 // Spreads requests over targets by the number in flight at each, from this node and, as reported, from the other nodes.
@@ -113,6 +114,7 @@
     };
 
     double expectedLoad(const Target&) const;
+    const Target& sample(std::vector<const Target*>, Random&) const;
     bool isUsable(const Target&, const ChoiceRequest&, MonotonicTime now) const;
 
     std::string m_zone;
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -183,8 +183,9 @@
         queue += resumeQueueExtra;
     else if (m_isCallerRetry)
         queue += retryQueueExtra;
+    std::vector<std::string> preferred = hostsWithIdleConnection(now);
     auto choose = [&](std::span<const std::string> hosts) {
-        return m_context.balancer.choose({ m_service, m_call.model, hosts, queue }, now, m_context.random);
+        return m_context.balancer.choose({ m_service, m_call.model, hosts, queue, preferred }, now, m_context.random);
     };
     // Two suspects on one server would share its death.
     std::vector<std::string> suspects = m_context.suspicion.replicasToAvoid(m_suspects, now);
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -61,6 +61,8 @@
     // Whether the request must not run now because servers ended while running it.
     bool isHeldAsSuspect();
     Milliseconds timeLeft() const;
+    Milliseconds longestIdle() const;
+    std::vector<std::string> hostsWithIdleConnection(MonotonicTime) const;
     bool mayRepeat() const { return m_route->idempotent || m_route->resumable; }
 
     // One send to a backend server.
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -29,6 +30,23 @@
     // connection at that moment, it is unknown whether the call ran.
     constexpr Milliseconds maxIdleForSingleRun { 300 };
     constexpr Milliseconds maxIdleForRepeatable { 2500 };
+
+    std::optional<Milliseconds> announcedIdleLimit(const ResponseHead& head)
+    {
+        std::string_view value = head[http::field::keep_alive];
+        constexpr std::string_view name = "timeout=";
+        auto found = value.find(name);
+        if (found == std::string_view::npos)
+            return std::nullopt;
+        value.remove_prefix(found + name.size());
+        uint32_t seconds = 0;
+        auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), seconds);
+        constexpr uint32_t maxSeconds = 3600;
+        if (error != std::errc() || seconds == 0 || seconds > maxSeconds)
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
     // Late responses to earlier requests that may precede the response to this request.
     constexpr int maxStaleResponses = 3;
     // A faulty server may send bytes without end. Of a stream only the current event is kept, of other responses all.
@@ -69,6 +87,18 @@
     co_return co_await sendToServer();
 }
 
+// Of a connection that this call may use.
+Milliseconds CallForwarder::longestIdle() const { return mayRepeat() ? maxIdleForRepeatable : maxIdleForSingleRun; }
+
+// A new connection costs the server time and counts against a bound that all nodes share. As answers end everywhere at
+// the pace of the work there, this prefers no server that is slower than others.
+std::vector<std::string> CallForwarder::hostsWithIdleConnection(MonotonicTime now) const
+{
+    if (m_context.disabledMechanisms.contains(Mechanism::WarmConnections))
+        return {};
+    return m_context.pool.hostsWithIdle(m_service, longestIdle(), now);
+}
+
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::sendToServer()
 {
     MonotonicTime begun = m_context.now();
@@ -92,8 +122,7 @@
     uint64_t eventsBefore = m_eventStream.events();
 
     SendOutcome outcome = SendOutcome::NotRun;
-    auto acquired = co_await m_context.pool.acquire(
-        address, mayRepeat() ? maxIdleForRepeatable : maxIdleForSingleRun, connectTimeout);
+    auto acquired = co_await m_context.pool.acquire(address, longestIdle(), connectTimeout);
     m_hadConnection = std::holds_alternative<std::unique_ptr<PeerConnection>>(acquired);
     if (!m_hadConnection) {
         m_lastError = describe(std::get<Error>(acquired));
@@ -101,6 +130,10 @@
         m_context.reach.connectFailed(m_service, hostId);
     } else {
         auto connection = std::move(std::get<0>(acquired));
+        connection->service = m_service;
+        connection->hostId = hostId;
+        m_context.metrics.count(fmt::format(
+            "server_connections_total{{service=\"{}\",kept=\"{}\"}}", m_service, connection->wasUsed ? "yes" : "no"));
         if (!connection->wasUsed)
             m_context.reach.connected(m_service, m_context.now());
         if (m_active->cancelReason == CancelReason::None) {
@@ -297,6 +330,8 @@
         co_return SendOutcome::Broken;
     recordData();
     applyServerNotice(reply);
+    if (auto limit = announcedIdleLimit(parser->get()))
+        m_context.pool.idleLimits().announced(m_service, *limit);
     m_isEndMarked = !parser->need_eof();
     bool isStream = m_route->streaming && reply.status == 200 && reply.isSealed && reply.isUnencoded;
     if (isStream) {
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -44,9 +44,13 @@
     auto& idle = found->second;
     MonotonicTime now = monotonicNow();
     while (!idle.empty()) {
-        auto connection = std::move(idle.back()); // The most recently used connection is the least likely to be closed.
+        // The most recently used connection is the least likely to be closed. If it is idle for too long, all are; they
+        // are kept for uses with a longer limit.
+        if (now - idle.back()->idleSince > longestIdle)
+            return nullptr;
+        auto connection = std::move(idle.back());
         idle.pop_back();
-        if (now - connection->idleSince <= longestIdle && isOpenAndEmpty(connection->stream.socket()))
+        if (isOpenAndEmpty(connection->stream.socket()))
             return connection;
     }
     return nullptr;
@@ -95,6 +99,7 @@
         return;
     connection->stream.expires_never();
     connection->idleSince = monotonicNow();
+    connection->seenOpenAt = connection->idleSince;
     connection->wasUsed = true;
     auto& idle = m_idle[connection->peer];
     if (idle.size() < maxIdlePerPeer)
@@ -103,11 +108,43 @@
 
 void ConnectionPool::closeIdle(MonotonicTime now)
 {
-    for (auto& [peer, idle] : m_idle)
-        std::erase_if(idle, [&](const auto& connection) { return now - connection->idleSince > maxIdleTime; });
+    for (auto& [peer, idle] : m_idle) {
+        while (!idle.empty() && (now - idle.front()->idleSince > maxIdleTime || !isStillOpen(*idle.front(), now)))
+            idle.pop_front(); // The longest idle one, so it is closed first.
+    }
     std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
+bool ConnectionPool::isStillOpen(PeerConnection& connection, MonotonicTime now)
+{
+    bool isOpen = isOpenAndEmpty(connection.stream.socket());
+    if (isOpen)
+        connection.seenOpenAt = now;
+    if (connection.service.empty())
+        return isOpen;
+    auto idle = std::chrono::floor<Milliseconds>(connection.seenOpenAt - connection.idleSince);
+    if (isOpen)
+        m_idleLimits.seenOpen(connection.service, idle);
+    else
+        m_idleLimits.seenClosed(connection.service, idle);
+    return isOpen;
+}
+
+std::vector<std::string> ConnectionPool::hostsWithIdle(
+    std::string_view service, Milliseconds longestIdle, MonotonicTime now) const
+{
+    Milliseconds longest = std::min(longestIdle, m_idleLimits.usable(service).value_or(longestIdle));
+    std::vector<std::string> result;
+    for (const auto& [peer, idle] : m_idle) {
+        if (idle.empty())
+            continue;
+        const PeerConnection& latest = *idle.back();
+        if (latest.service == service && now - latest.idleSince <= longest)
+            result.push_back(latest.hostId);
+    }
+    return result;
+}
+
 asio::awaitable<Settled<HttpResponse>> ConnectionPool::exchange(
     Address peer, HttpRequest request, Milliseconds timeout, Step step, Milliseconds bodyTimeout)
 {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "base/address.h"
+#include "fleet/idlelimits.h"
 #include "gateway/http.h"
 #include "gateway/platform.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace Kumquatpick {
 
@@ -20,7 +24,10 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Address peer;
+    std::string service; // Of a backend server that was sent a call on it; else empty, like the id.
+    std::string hostId;
     MonotonicTime idleSince {};
+    MonotonicTime seenOpenAt {};
     bool wasUsed = false;
 };
 
@@ -37,7 +44,11 @@
     asio::awaitable<bool> accepts(Address, Milliseconds connectTimeout);
     // Returns a connection to the pool after a complete response.
     void release(std::unique_ptr<PeerConnection>);
+    // Closes connections that are idle for long or were closed by the peer. How long peers keep them is learned here.
     void closeIdle(MonotonicTime now);
+    // Backend servers of the service to which a connection is idle for at most longestIdle and probably still open.
+    std::vector<std::string> hostsWithIdle(std::string_view service, Milliseconds longestIdle, MonotonicTime now) const;
+    IdleLimits& idleLimits() { return m_idleLimits; }
 
     // Sends one request and reads the complete response. Fails with Unreachable or Refused if nothing was sent; after
     // other errors the peer may have acted on the request. A bodyTimeout starts after the head, so that large bodies
@@ -51,8 +62,11 @@
     std::unique_ptr<PeerConnection> takeIdle(const Address&, Milliseconds longestIdle);
     asio::awaitable<Settled<std::unique_ptr<PeerConnection>>> open(Address, Milliseconds connectTimeout);
 
+    bool isStillOpen(PeerConnection&, MonotonicTime now);
+
     asio::any_io_executor m_executor;
     std::map<Address, std::deque<std::unique_ptr<PeerConnection>>> m_idle;
+    IdleLimits m_idleLimits;
     uint64_t m_opened = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
     // Must be below two seconds, for which a leaving host may still get work.
     constexpr Milliseconds maxHostLongPoll { 1000 };
     constexpr int ticksPerSecond = 20; // Maintenance ticks per second; some tasks run only once a second.
+    constexpr int ticksPerIdleCheck = 2; // Of connections; as precise as their idle limits need to be known.
     constexpr int ticksPerReportExpiry = 5; // It visits all hosts.
     // A longer pause of the event loop delays all responses too much. Each such pause is logged.
     constexpr Milliseconds longPause { 200 };
@@ -197,6 +198,8 @@
             removeDueHosts();
             examineGoneHosts();
             m_context.isConfigCurrent = isConfigCurrent();
+            if (tick % ticksPerIdleCheck == 0)
+                m_context.pool.closeIdle(m_context.now());
             if (tick % ticksPerReportExpiry == 0)
                 m_context.hosts.expireReports(m_context.now());
             refreshPeersInFlight();
@@ -207,7 +210,6 @@
             updateDemand();
             m_context.log.flush();
             if (tick % ticksPerSecond == 0) {
-                m_context.pool.closeIdle(m_context.now());
                 refreshHostAddresses();
                 m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
                 m_context.suspicion.setLiveNodes(m_peers.liveIncarnations());
--- a/src/suspicion/sharedsuspects.cpp
+++ b/src/suspicion/sharedsuspects.cpp
@@ -225,8 +225,8 @@
     if (isConfirmed || hasTried || !evidence.observers.contains(m_self))
         return false;
     auto order = [&](uint64_t observer) { return observer ^ suspect.id; };
-    auto before = std::ranges::count_if(evidence.observers,
-        [&](uint64_t observer) { return order(observer) < order(m_self) && isAlive(observer); });
+    auto before = std::ranges::count_if(
+        evidence.observers, [&](uint64_t observer) { return order(observer) < order(m_self) && isAlive(observer); });
     return now >= stoppedAt + trialDelay + trialTurn * before;
 }
 
--- a/tests/fleet/balancer_test.cpp
+++ b/tests/fleet/balancer_test.cpp
@@ -177,4 +177,30 @@
     EXPECT_GT(m_balancer.rateLimitExclusions(), 0u);
 }
 
+// Guards against calls that pile up at a preferred target, and against one that takes calls though it may not be used.
+TEST_F(BalancerTest, ChoosesPreferredTargetsUntilTheyAreLoadedMoreThanOthers)
+{
+    m_balancer.setTargets({ headOf("a", "large", 20), headOf("b", "large", 20), headOf("c", "large", 20) });
+    std::vector<std::string> preferred { "b", "gone" };
+    auto chooseWithPreference = [&](std::vector<std::string> excluded = {}) {
+        return m_balancer.choose({ "writers", "large", excluded, 0, preferred }, start, m_random);
+    };
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_EQ(chooseWithPreference(), "b");
+        m_balancer.sendStarted("b", start);
+    }
+    EXPECT_NE(chooseWithPreference({ "b" }), "b");
+    m_balancer.setRemoteInFlight({ { "b", 10 } });
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_NE(chooseWithPreference({ "gone" }), "");
+        EXPECT_NE(chooseWithPreference({ "a", "c" }), "a");
+    }
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 300; ++i)
+        ++chosen[chooseWithPreference()];
+    EXPECT_LT(chosen["b"], 100);
+    m_balancer.suspect("b", start + std::chrono::seconds(1));
+    EXPECT_NE(chooseWithPreference(), "b");
+}
+
 } // namespace Kumquatpick
--- a/tests/gateway/connectionpool_test.cpp
+++ b/tests/gateway/connectionpool_test.cpp
@@ -79,4 +79,41 @@
     EXPECT_EQ(errorOf(exchangeWith({ {}, longPause }, {})), ErrorCode::Timeout);
 }
 
+// Guards against calls that must not run twice, and so need a fresh connection, closing those that others can use.
+TEST(ConnectionPool, KeepsConnectionsThatAreIdleTooLongForOneUseAndLearnsWhenTheyAreClosed)
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    Address address { "127.0.0.1", acceptor.local_endpoint().port() };
+    ConnectionPool pool(io.get_executor());
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            auto first = co_await pool.acquire(address, longPause, timeout);
+            auto connection = std::move(std::get<0>(first));
+            auto [acceptError, server] = co_await acceptor.async_accept(asTuple);
+            connection->service = "writers";
+            connection->hostId = "a";
+            pool.release(std::move(connection));
+            co_await sleepFor(timeout);
+            MonotonicTime now = monotonicNow();
+            EXPECT_EQ(pool.hostsWithIdle("writers", 10 * timeout, now), std::vector<std::string> { "a" });
+            EXPECT_TRUE(pool.hostsWithIdle("writers", Milliseconds(10), now).empty());
+            EXPECT_TRUE(pool.hostsWithIdle("readers", 10 * timeout, now).empty());
+
+            auto fresh = co_await pool.acquire(address, Milliseconds(10), timeout);
+            EXPECT_FALSE(std::get<0>(fresh)->wasUsed);
+            EXPECT_EQ(pool.opened(), 2U);
+            pool.closeIdle(monotonicNow());
+            EXPECT_FALSE(pool.idleLimits().usable("writers"));
+            server.close();
+            co_await sleepFor(timeout);
+            pool.closeIdle(monotonicNow());
+            EXPECT_TRUE(pool.hostsWithIdle("writers", 10 * timeout, monotonicNow()).empty());
+            EXPECT_GE(pool.idleLimits().usable("writers").value_or(Milliseconds(0)), timeout);
+        },
+        asio::detached);
+    io.run();
+}
+
 } // namespace Kumquatpick
