List a mix in which two nodes try a stopped part too close to each other

Six nodes, silent ends, all nodes restarting in turn: 5 requests with the part reach servers after the stop, 3 is the bound. Since the turns of gone nodes pass on, two live nodes try it 1 s apart, before the silent end of the first trial is known, which takes 2.5 s.

The trial would have to be told to the other nodes as it begins.

--- a/tests/fleet/crashingparts_test.cpp
+++ b/tests/fleet/crashingparts_test.cpp
@@ -304,6 +304,20 @@
         expectBothRules(scenario);
 }
 
+// Guards against nodes that try a stopped part before the server that ended under another node's trial is missed. All
+// nodes restart in turn meanwhile, so that their turns come earlier than the end of the trial is known.
+TEST(CrashingParts, TryStoppedPartsOnceThoughAllNodesRestartAndServersFallSilent)
+{
+    expectBothRules({ .seed = 205410,
+        .end = SimulatedEnd::Silent,
+        .fault = NodeFault::RollingRestart,
+        .crashingPerSecond = 3,
+        .soundBeforePerSecond = 8,
+        .sharedRank = 5,
+        .isFirst = true,
+        .load = 2 });
+}
+
 // Guards against a part that goes on ending servers, or sound requests that are no longer served, in any mix of what
 // can happen: how servers end, lost, cut off, frozen and restarted nodes, frequent, rare and new parts.
 RC_GTEST_PROP(CrashingParts, KeepBothRulesInAnyMix, ())
