Let the call test wait until the engine has seen the close

Seen: Call.DestroyingACallStopsItAndCancelsAtTheEngine failed once on a busy machine: hasClosed was read while the engine's thread, woken by the close, had not run yet. The race was in the test: nothing waited for that thread. The test also read the flag after stopListening(), which cuts the connections itself, so a call that never closed could pass.

The new test waits up to 10 s for the close while the caller and the engine still run, so that only the destroyed call can have closed.

--- a/tests/backend/call_test.cpp
+++ b/tests/backend/call_test.cpp
@@ -4,6 +4,7 @@
 #include "backend/transfer.h"
 
 #include <fmt/format.h>
+#include <future>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -301,29 +302,27 @@
     EXPECT_EQ(seen.error->code, ErrorCode::Timeout);
 }
 
-// The connection closes and the engine is told, whether the call waited for a head, a piece or its reader.
+// The connection closes and the engine is told, whether the call waited for a head, a piece or its reader. The engine
+// cuts nothing before it has seen the close, so that only the call can have closed.
 TEST(Call, DestroyingACallStopsItAndCancelsAtTheEngine)
 {
     for (const std::string& begin :
         std::vector<std::string> { "", chunkedHead + chunk("hello"), chunkedHead + chunk(std::string(1 << 20, 'x')) }) {
-        std::atomic<bool> hasClosed = false;
+        std::promise<void> closed;
         FakeEngine engine([&](FakeConnection& connection, const std::string&) {
             connection.send(begin);
             connection.waitForClose();
-            hasClosed = true;
+            closed.set_value();
         });
-        {
-            BackendCaller caller(1);
-            auto call = startCall(caller, requestTo(engine.address()));
-            if (!begin.empty()) {
-                ASSERT_EQ(settle([&] { return call->head(); }).index(), 0U);
-            }
-            engine.waitForRequest("POST /v1/chat");
-            call.reset();
-            engine.waitForRequest("POST /v1/cancel/r1 ");
+        BackendCaller caller(1);
+        auto call = startCall(caller, requestTo(engine.address()));
+        if (!begin.empty()) {
+            ASSERT_EQ(settle([&] { return call->head(); }).index(), 0U);
         }
-        engine.stopListening();
-        EXPECT_TRUE(hasClosed);
+        engine.waitForRequest("POST /v1/chat");
+        call.reset();
+        engine.waitForRequest("POST /v1/cancel/r1 ");
+        EXPECT_EQ(closed.get_future().wait_for(10s), std::future_status::ready);
     }
 }
 
