--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -53,6 +53,7 @@
     std::span<const std::string> excludedHosts; // Hosts that this request has already tried.
     uint32_t queueLimit = 0; // Requests that may queue at the target beyond its capacity.
     FirstEventBound firstEvent {};
+    std::span<const std::string> preferredHosts {}; // Chosen first unless they are loaded more than others.
 };
 
 // Spreads requests over targets by the number in flight at each, from this node and, as reported, from the other nodes.
@@ -141,6 +142,7 @@
 
     static HeadLoad headLoad(const Target&);
     double expectedLoad(const Target&) const;
+    const Target& sample(std::vector<const Target*>, Random&) const;
     bool isUsable(const Target&, const ChoiceRequest&, MonotonicTime now) const;
     bool isInTime(const Target&, const ChoiceRequest&, MonotonicTime now) const;
     // Factor on the weight of a target in a choice: prefers those that send the first event sooner.
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -185,8 +185,9 @@
         queue += resumeQueueExtra;
     else if (m_isCallerRetry)
         queue += retryQueueExtra;
+    std::vector<std::string> preferred = hostsWithIdleConnection(now);
     auto choose = [&](std::span<const std::string> hosts) {
-        ChoiceRequest request { m_service, m_call.model, hosts, queue };
+        ChoiceRequest request { m_service, m_call.model, hosts, queue, {}, preferred };
         return isForecastUsed(hasStarted) ? chooseHostInTime(request, now)
                                           : m_context.balancer.choose(request, now, m_context.random);
     };
