--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -41,13 +41,14 @@
 
 }
 
-void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, const HostsByDomain& freeHosts,
-    ReplicasByDomain replicas, uint32_t formationLoads, std::vector<HostOrder>& orders)
+void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, std::vector<PlannedLoad> plannedLoads,
+    const HostsByDomain& freeHosts, ReplicasByDomain replicas, uint32_t formationLoads, std::vector<HostOrder>& orders)
 {
     m_hostsToPoll.clear();
     m_replicas = std::move(replicas);
     m_formationLoads = formationLoads;
     removeFinished(input);
+    stagePlanned(input, std::move(plannedLoads), orders);
     stageIdleHosts(input, needs, freeHosts, orders);
     if (!input.disabledMechanisms.contains(Mechanism::SecondModels))
         stageSecondModels(input, needs, orders);
@@ -75,6 +76,39 @@
     return count != replicas->second.end() && spares < count->second * sparesPerReplica;
 }
 
+void ModelStaging::stagePlanned(
+    const PlannerInput& input, std::vector<PlannedLoad> plannedLoads, std::vector<HostOrder>& orders)
+{
+    std::ranges::stable_sort(plannedLoads, std::greater(), &PlannedLoad::value);
+    for (const PlannedLoad& load : plannedLoads) {
+        if (!mayLoad(input, *load.host, *load.model))
+            continue;
+        if (!tryAcquireLoad(input, input.service.timing.concurrentLoads))
+            return;
+        stage(input, *load.host, load.model->name, orders);
+        m_hostsToPoll.insert(load.host->id);
+    }
+}
+
+bool ModelStaging::mayLoad(const PlannerInput& input, const Host& host, const ModelSpec& model) const
+{
+    const HostStatus& status = host.status;
+    if (status.hasLocalCopy(model.name) || m_stagings.contains(host.id) || m_refusedAt.contains(host.id))
+        return false;
+    bool isCold = status.lastModel.empty() && status.stagedModels.empty();
+    return isCold || (!status.lastModel.empty() && !input.disabledMechanisms.contains(Mechanism::IdleHostReload));
+}
+
+std::optional<Milliseconds> ModelStaging::remainingLoad(
+    const Host& host, const ModelSpec& model, MonotonicTime now) const
+{
+    auto staging = m_stagings.find(host.id);
+    if (staging == m_stagings.end() || staging->second.model != model.name)
+        return std::nullopt;
+    auto elapsed = std::chrono::floor<Milliseconds>(now - staging->second.startedAt);
+    return std::max(model.load - elapsed, Milliseconds(0));
+}
+
 // Hosts that are idle after all replicas were formed hold no model, or one for which the domain has too few hosts. They
 // load the model that is then closest to a further replica, the closest first.
 void ModelStaging::stageIdleHosts(
--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -24,14 +24,25 @@
     // Serving and forming replicas, by domain and model.
     using ReplicasByDomain = std::map<std::string, std::map<std::string, uint32_t, std::less<>>, std::less<>>;
 
-    // Appends to orders. freeHosts: hosts that belong to no replica; formationLoads: loads in progress for forming
+    // A load that completes a replica with other free hosts of its domain.
+    struct PlannedLoad {
+        const Host* host = nullptr;
+        const ModelSpec* model = nullptr;
+        double value = 0;
+    };
+
+    // Planned loads begin before all others, the most valuable first. Appends to orders. freeHosts: hosts that belong to no replica; formationLoads: loads in progress for forming
     // replicas.
-    void plan(const PlannerInput&, const ModelNeeds&, const HostsByDomain& freeHosts, ReplicasByDomain,
-        uint32_t formationLoads, std::vector<HostOrder>& orders);
+    void plan(const PlannerInput&, const ModelNeeds&, std::vector<PlannedLoad>, const HostsByDomain& freeHosts,
+        ReplicasByDomain, uint32_t formationLoads, std::vector<HostOrder>& orders);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
     // Whether the host was ordered to stage the model and has not finished.
     bool isStaging(const Host&, std::string_view model) const;
+    // Time left of the host's running load of the model by its nominal duration; nullopt if none runs.
+    std::optional<Milliseconds> remainingLoad(const Host&, const ModelSpec&, MonotonicTime now) const;
+    // Whether the host can load the model without losing its only copy of another one.
+    bool mayLoad(const PlannerInput&, const Host&, const ModelSpec&) const;
     uint32_t loads() const { return static_cast<uint32_t>(m_stagings.size()); }
     // Idle hosts that are polled to detect the end of their loads.
     const std::set<std::string, std::less<>>& hostsToPoll() const { return m_hostsToPoll; }
@@ -50,6 +61,7 @@
 
     void removeFinished(const PlannerInput&);
     bool canReplaceMember(std::string_view domain, const ModelSpec&, uint32_t spares) const;
+    void stagePlanned(const PlannerInput&, std::vector<PlannedLoad>, std::vector<HostOrder>&);
     void stageIdleHosts(const PlannerInput&, const ModelNeeds&, const HostsByDomain&, std::vector<HostOrder>&);
     void considerIdleHost(const PlannerInput&, const Host&, const std::vector<const Host*>& idle, const ModelNeeds&,
         std::optional<IdleLoad>& best) const;
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -247,7 +247,7 @@
     shiftReplicas(input, planState);
     for (const auto& [domain, hosts] : planState.freeHosts)
         planState.candidates[domain] = candidatesIn(input, hosts);
-    size_t joins = 0;
+    size_t joins = formByDomainPlan(input, planState, orders);
     while (const Candidate* candidate = bestCandidate(input, planState)) {
         if (joins >= maxJoinsPerPlan)
             return;
@@ -260,11 +260,98 @@
         formReplica(input, planState, *candidate, orders);
         joins += m_formations.back().members.size();
     }
-    m_staging.plan(input, computeNeeds(input, planState), planState.freeHosts, replicasByDomain(input, planState),
-        loadsOfFormations(input), orders);
+    m_staging.plan(input, computeNeeds(input, planState), plannedLoads(), planState.freeHosts,
+        replicasByDomain(input, planState), loadsOfFormations(input), orders);
     m_hostsToPollLater.insert(m_staging.hostsToPoll().begin(), m_staging.hostsToPoll().end());
 }
 
+void ReplicaPlanner::updateGroupings(const PlannerInput& input, const PlanState& planState)
+{
+    m_groupings.clear();
+    uint32_t loads = m_staging.loads() + loadsOfFormations(input);
+    uint32_t maxLoads = input.service.timing.concurrentLoads;
+    DomainPlanInput planInput { input.service, input.wantedReplicas, planState.replicaCounts,
+        [&](const Host& host, const ModelSpec& model) { return m_staging.remainingLoad(host, model, input.now); },
+        [&](const Host& host, const ModelSpec& model) { return m_staging.mayLoad(input, host, model); },
+        maxLoads - std::min(loads, maxLoads) };
+    for (const auto& [domain, hosts] : planState.freeHosts) {
+        // The hosts of a domain with a shift are reserved for its model.
+        if (!m_shifts.contains(domain))
+            m_groupings[domain] = chooseGrouping(planInput, hosts);
+    }
+}
+
+// The most valuable planned replica whose members all hold its model and have reported.
+const PlannedReplica* ReplicaPlanner::bestFormable(
+    const PlannerInput& input, std::set<std::string, std::less<>>& waitingDomains)
+{
+    const PlannedReplica* best = nullptr;
+    for (const auto& [domain, grouping] : m_groupings) {
+        if (waitingDomains.contains(domain))
+            continue;
+        for (const PlannedReplica& replica : grouping) {
+            if (!replica.canFormNow || (best && replica.value <= best->value))
+                continue;
+            if (requireReports(input, replica.members))
+                best = &replica;
+            else
+                waitingDomains.insert(domain);
+        }
+    }
+    return best;
+}
+
+// Returns the number of joins ordered.
+size_t ReplicaPlanner::formByDomainPlan(const PlannerInput& input, PlanState& planState, std::vector<HostOrder>& orders)
+{
+    m_groupings.clear();
+    if (input.isBeforeTraffic || input.disabledMechanisms.contains(Mechanism::DomainPlan))
+        return 0;
+    size_t joins = 0;
+    std::set<std::string, std::less<>> waitingDomains;
+    updateGroupings(input, planState);
+    while (joins < maxJoinsPerPlan) {
+        const PlannedReplica* replica = bestFormable(input, waitingDomains);
+        if (!replica)
+            break;
+        formReplica(input, planState, { replica->model, replica->members, 0 }, orders);
+        joins += m_formations.back().members.size();
+        updateGroupings(input, planState);
+    }
+    for (const auto& [domain, hosts] : planState.freeHosts)
+        planState.candidates[domain] = candidatesIn(input, unplannedHosts(domain, hosts));
+    return joins;
+}
+
+// Without the hosts of planned replicas that cannot form yet, which are not available to models that have enough.
+std::vector<const Host*> ReplicaPlanner::unplannedHosts(
+    std::string_view domain, const std::vector<const Host*>& freeHosts) const
+{
+    std::vector<const Host*> result = freeHosts;
+    auto grouping = m_groupings.find(domain);
+    if (grouping == m_groupings.end())
+        return result;
+    for (const PlannedReplica& replica : grouping->second) {
+        std::erase_if(result,
+            [&](const Host* host) { return std::ranges::find(replica.members, host) != replica.members.end(); });
+    }
+    return result;
+}
+
+// Loads that complete a replica sooner, with fewer other loads, come first.
+std::vector<ModelStaging::PlannedLoad> ReplicaPlanner::plannedLoads() const
+{
+    std::vector<ModelStaging::PlannedLoad> result;
+    for (const auto& [domain, grouping] : m_groupings) {
+        for (const PlannedReplica& replica : grouping) {
+            for (const Host* host : replica.hostsToLoad)
+                result.push_back(
+                    { host, replica.model, replica.value / static_cast<double>(replica.hostsToLoad.size()) });
+        }
+    }
+    return result;
+}
+
 // The candidate is part of planState and is invalid after its candidates are recomputed.
 void ReplicaPlanner::formReplica(
     const PlannerInput& input, PlanState& planState, const Candidate& candidate, std::vector<HostOrder>& orders)
@@ -294,7 +381,7 @@
     }
     auto& freeHosts = planState.freeHosts.at(domain);
     std::erase_if(freeHosts, [this](const Host* host) { return m_formingHosts.contains(host->id); });
-    planState.candidates[domain] = candidatesIn(input, freeHosts);
+    planState.candidates[domain] = candidatesIn(input, unplannedHosts(domain, freeHosts));
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "fleet/config.h"
 #include "fleet/domainassignment.h"
+#include "fleet/domainplan.h"
 #include "fleet/hostorder.h"
 #include "fleet/modelstaging.h"
 #include "fleet/ordercounts.h"
@@ -137,6 +138,11 @@
     void orderMembersLeave(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
     bool recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
+    size_t formByDomainPlan(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
+    void updateGroupings(const PlannerInput&, const PlanState&);
+    const PlannedReplica* bestFormable(const PlannerInput&, std::set<std::string, std::less<>>& waitingDomains);
+    std::vector<const Host*> unplannedHosts(std::string_view domain, const std::vector<const Host*>& freeHosts) const;
+    std::vector<ModelStaging::PlannedLoad> plannedLoads() const;
     void formReplica(const PlannerInput&, PlanState&, const Candidate&, std::vector<HostOrder>&);
     ModelNeeds computeNeeds(const PlannerInput&, const PlanState&) const;
     const Candidate* bestCandidate(const PlannerInput&, const PlanState&) const;
@@ -174,6 +180,7 @@
     OrderCounts m_orderCounts;
     DomainAssignment m_domainAssignment;
     std::map<std::string, Shift, std::less<>> m_shifts; // By domain.
+    std::map<std::string, DomainGrouping, std::less<>> m_groupings; // By domain; valid during plan() only.
     std::set<std::string, std::less<>> m_hostsToPoll;
     std::set<std::string, std::less<>> m_hostsToPollLater;
     std::optional<MonotonicTime> m_firstHostSeenAt; // When the first host was listed.
