--- a/src/fleet/domainplan.cpp
+++ b/src/fleet/domainplan.cpp
@@ -14,6 +14,11 @@
     // Comparing more combinations would delay a plan. Only domains with an unusual number of hosts or models reach it.
     constexpr size_t maxCombinations = 2000;
 
+    // The places that a replica adds count equally for all models, whatever its number of hosts. With urgency alone, the
+    // model with fewer hosts a replica would get nearly all of them. Its third power leaves the larger model about the
+    // share that it has if the most needed replica is always formed first, and serves more in total.
+    constexpr double urgencyExponent = 3;
+
     struct MemberCost {
         Milliseconds readyIn {};
         bool mustLoad = false;
@@ -96,7 +101,10 @@
             }
             if (choices.size() < model.hostsPerReplica)
                 return std::nullopt;
-            std::ranges::stable_sort(choices, {}, [](const auto& choice) { return choice.first.readyIn; });
+            // Hosts that hold another model keep it if others are as soon ready.
+            std::ranges::stable_sort(choices, {}, [&](const auto& choice) {
+                return std::pair(choice.first.readyIn, copiesOfOthers(*choice.second, model));
+            });
             choices.resize(model.hostsPerReplica);
             PlannedReplica replica;
             replica.model = &model;
@@ -119,6 +127,14 @@
             return replica;
         }
 
+        // The number of models, beside this one, that the host could serve without a load.
+        size_t copiesOfOthers(const Host& host, const ModelSpec& model) const
+        {
+            return static_cast<size_t>(std::ranges::count_if(m_input.service.models, [&](const ModelSpec& other) {
+                return &other != &model && host.status.hasLocalCopy(other.name);
+            }));
+        }
+
         std::optional<MemberCost> costOf(const Host& host, const ModelSpec& model) const
         {
             if (host.status.lastModel == model.name)
@@ -155,7 +171,7 @@
     double urgency = wanted->second / (1 + count);
     // A part of a replica's demand is no shortage: the others take it.
     bool isShort = urgency >= 1;
-    return isShort ? urgency : 0;
+    return isShort ? std::pow(urgency, urgencyExponent) : 0;
 }
 
 DomainGrouping chooseGrouping(const DomainPlanInput& input, std::span<const Host* const> freeHosts)
--- a/src/fleet/domainplan.h
+++ b/src/fleet/domainplan.h
@@ -31,15 +31,14 @@
     std::vector<const Host*> members;
     std::vector<const Host*> hostsToLoad; // Members that need a load that has not begun.
     Milliseconds readyIn {}; // Until all members hold the model and have joined.
-    double value = 0; // Replicas' worth of urgent demand that it serves, averaged over the plan's horizon.
+    double value = 0; // Of the urgent demand that it serves, averaged over the plan's horizon.
     bool canFormNow = false; // All members hold the model.
 };
 
 // The replicas that together serve most; hosts in none of them are not needed for any model that is short.
 using DomainGrouping = std::vector<PlannedReplica>;
 
-// Demand that one more replica would serve, in replicas, multiplied by the model's urgency. Zero if the model has
-// enough. additional: replicas planned beside those counted in the input.
+// The weight of one more replica of the model by the model's urgency. Zero if the demand would not fill it. additional: replicas planned beside those counted in the input.
 double valueOfNextReplica(const DomainPlanInput&, const ModelSpec&, uint32_t additional);
 
 // Compares all numbers of replicas by model that the free hosts of one domain could form: now, after loads that are
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <span>
 
 // The part of ReplicaPlanner that chooses which replicas to form from idle hosts, and which to dissolve in favour of a
 // model that needs replicas more.
@@ -236,6 +237,7 @@
 
 void ReplicaPlanner::formReplicas(const PlannerInput& input, PlanState& planState, std::vector<HostOrder>& orders)
 {
+    m_staging.observeIdleHosts(planState.freeHosts, input.now);
     // All idle hosts are polled, including those not chosen now, so that later choices need not wait.
     bool allReported = true;
     for (const auto& [domain, hosts] : planState.freeHosts)
@@ -260,8 +262,17 @@
         formReplica(input, planState, *candidate, orders);
         joins += m_formations.back().members.size();
     }
-    m_staging.plan(input, computeNeeds(input, planState), plannedLoads(), planState.freeHosts,
-        replicasByDomain(input, planState), loadsOfFormations(input), orders);
+    HostsByDomain unplanned;
+    for (const auto& [domain, hosts] : planState.freeHosts)
+        unplanned[domain] = unplannedHosts(domain, hosts);
+    m_staging.plan(input, computeNeeds(input, planState), plannedLoads(), unplanned, replicasByDomain(input, planState),
+        loadsOfFormations(input), orders);
+    for (const auto& [domain, grouping] : m_groupings) {
+        for (const PlannedReplica& replica : grouping) {
+            for (const Host* host : replica.members)
+                m_hostsToPollLater.insert(host->id);
+        }
+    }
     m_hostsToPollLater.insert(m_staging.hostsToPoll().begin(), m_staging.hostsToPoll().end());
 }
 
@@ -352,6 +363,40 @@
     return result;
 }
 
+bool ReplicaPlanner::isAnyModelShort(const PlannerInput& input, const Summary& summary) const
+{
+    return std::ranges::any_of(input.wantedReplicas, [&](const auto& entry) {
+        auto countIn = [&](const auto& counts) {
+            auto found = counts.find(entry.first);
+            return found == counts.end() ? 0u : found->second;
+        };
+        return entry.second >= 1 + countIn(summary.open) + countIn(summary.forming);
+    });
+}
+
+void ReplicaPlanner::summarizePlan(const PlannerInput& input, const HostsByDomain& freeHosts, Summary& summary) const
+{
+    const char* otherReason = isAnyModelShort(input, summary) ? "too_few_in_domain" : "not_needed";
+    for (const auto& [domain, hosts] : freeHosts) {
+        auto unplanned = static_cast<uint32_t>(hosts.size());
+        auto grouping = m_groupings.find(domain);
+        std::span<const PlannedReplica> replicas;
+        if (grouping != m_groupings.end())
+            replicas = grouping->second;
+        for (const PlannedReplica& replica : replicas) {
+            auto members = static_cast<uint32_t>(replica.members.size());
+            unplanned -= std::min(unplanned, members);
+            const char* reason = replica.canFormNow ? "report" : replica.hostsToLoad.empty() ? "load" : "load_queue";
+            summary.freeByReason[reason] += members;
+            std::string& planned = summary.plannedByDomain[domain];
+            planned += fmt::format("{}{}: {} hosts, {} loads to begin, ready in {:.1f} s", planned.empty() ? "" : "; ",
+                replica.model->name, members, replica.hostsToLoad.size(), toSeconds(replica.readyIn));
+        }
+        if (unplanned > 0)
+            summary.freeByReason[m_shifts.contains(domain) ? "shift" : otherReason] += unplanned;
+    }
+}
+
 // The candidate is part of planState and is invalid after its candidates are recomputed.
 void ReplicaPlanner::formReplica(
     const PlannerInput& input, PlanState& planState, const Candidate& candidate, std::vector<HostOrder>& orders)
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -54,6 +54,10 @@
         std::string shift; // Models whose replicas replace those of other models, with the domain; empty if none.
         // By domain and its assigned model: the number of free hosts by staged model.
         std::map<std::string, std::map<std::string, uint32_t>> freeByDomain;
+        // By domain: the replicas planned from its free hosts that cannot form yet, and what they wait for.
+        std::map<std::string, std::string> plannedByDomain;
+        // Free hosts by the reason why they serve no model.
+        std::map<std::string, uint32_t> freeByReason;
     };
     Summary summary(const PlannerInput&) const;
 
@@ -143,6 +147,8 @@
     const PlannedReplica* bestFormable(const PlannerInput&, std::set<std::string, std::less<>>& waitingDomains);
     std::vector<const Host*> unplannedHosts(std::string_view domain, const std::vector<const Host*>& freeHosts) const;
     std::vector<ModelStaging::PlannedLoad> plannedLoads() const;
+    void summarizePlan(const PlannerInput&, const HostsByDomain& freeHosts, Summary&) const;
+    bool isAnyModelShort(const PlannerInput&, const Summary&) const;
     void formReplica(const PlannerInput&, PlanState&, const Candidate&, std::vector<HostOrder>&);
     ModelNeeds computeNeeds(const PlannerInput&, const PlanState&) const;
     const Candidate* bestCandidate(const PlannerInput&, const PlanState&) const;
