--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -158,19 +158,20 @@
     }
     if (usable.empty())
         return {};
-    const Target& chosen = sample(usable, random);
+    const Target& chosen = sample(usable, request, now, random);
     std::erase_if(usable, [&](const Target* target) {
         return std::ranges::find(request.preferredHosts, target->serving.hostId) == request.preferredHosts.end();
     });
     if (usable.empty())
         return chosen.serving.hostId;
-    const Target& preferred = sample(std::move(usable), random);
+    const Target& preferred = sample(std::move(usable), request, now, random);
     // A target that failed is drawn seldom, and must be tried then, as only a success ends its avoidance.
     bool isOverloaded = expectedLoad(preferred) > expectedLoad(chosen) - chosen.failures + preferredExcess;
     return (isOverloaded ? chosen : preferred).serving.hostId;
 }
 
-const Balancer::Target& Balancer::sample(std::vector<const Target*> targets, Random& random) const
+const Balancer::Target& Balancer::sample(
+    std::vector<const Target*> targets, const ChoiceRequest& request, MonotonicTime now, Random& random) const
 {
     for (size_t i = 0; i < std::min(sampledTargets, targets.size()); ++i)
         std::swap(targets[i], targets[i + random() % (targets.size() - i)]);
--- a/src/fleet/balancer.h
+++ b/src/fleet/balancer.h
@@ -142,7 +142,8 @@
 
     static HeadLoad headLoad(const Target&);
     double expectedLoad(const Target&) const;
-    const Target& sample(std::vector<const Target*>, Random&) const;
+    // Chooses one of two targets drawn at random, rather the less loaded and the faster one.
+    const Target& sample(std::vector<const Target*>, const ChoiceRequest&, MonotonicTime now, Random&) const;
     bool isUsable(const Target&, const ChoiceRequest&, MonotonicTime now) const;
     bool isInTime(const Target&, const ChoiceRequest&, MonotonicTime now) const;
     // Factor on the weight of a target in a choice: prefers those that send the first event sooner.
--- a/src/fleet/mechanism.h
+++ b/src/fleet/mechanism.h
@@ -28,12 +28,13 @@
     FirstEventForecast, // Calls go only where their first event is predicted in time; the rest is refused at once.
     TeamShares, // Where calls are refused, teams that got more than an equal share get what the others leave.
     WarmConnections, // Backend servers to which a connection is idle are preferred.
+    DomainPlan, // One decision over all models chooses the replicas of a domain's free hosts and their loads.
 };
 
 inline constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
     "return-order", "early-refusal", "return-spread", "relayed-probes", "conditional-joins", "store-readers",
     "control-candidates", "load-exchange", "larger-first", "call-relay", "first-event-forecast", "team-shares",
-    "warm-connections" };
+    "warm-connections", "domain-plan" };
 
 // The set of disabled mechanisms.
 class DisabledMechanisms {
