--- a/src/fleet/domainplan.cpp
+++ b/src/fleet/domainplan.cpp
@@ -14,9 +14,9 @@
     // Comparing more combinations would delay a plan. Only domains with an unusual number of hosts or models reach it.
     constexpr size_t maxCombinations = 2000;
 
-    // The places that a replica adds count equally for all models, whatever its number of hosts. With urgency alone, the
-    // model with fewer hosts a replica would get nearly all of them. Its third power leaves the larger model about the
-    // share that it has if the most needed replica is always formed first, and serves more in total.
+    // The places that a replica adds count equally for all models, whatever its number of hosts. With urgency alone,
+    // the model with fewer hosts a replica would get nearly all of them. Its third power leaves the larger model about
+    // the share that it has if the most needed replica is always formed first, and serves more in total.
     constexpr double urgencyExponent = 3;
 
     struct MemberCost {
@@ -130,9 +130,8 @@
         // The number of models, beside this one, that the host could serve without a load.
         size_t copiesOfOthers(const Host& host, const ModelSpec& model) const
         {
-            return static_cast<size_t>(std::ranges::count_if(m_input.service.models, [&](const ModelSpec& other) {
-                return &other != &model && host.status.hasLocalCopy(other.name);
-            }));
+            return static_cast<size_t>(std::ranges::count_if(m_input.service.models,
+                [&](const ModelSpec& other) { return &other != &model && host.status.hasLocalCopy(other.name); }));
         }
 
         std::optional<MemberCost> costOf(const Host& host, const ModelSpec& model) const
--- a/src/fleet/domainplan.h
+++ b/src/fleet/domainplan.h
@@ -38,7 +38,8 @@
 // The replicas that together serve most; hosts in none of them are not needed for any model that is short.
 using DomainGrouping = std::vector<PlannedReplica>;
 
-// The weight of one more replica of the model by the model's urgency. Zero if the demand would not fill it. additional: replicas planned beside those counted in the input.
+// The weight of one more replica of the model by the model's urgency. Zero if the demand would not fill it. additional:
+// replicas planned beside those counted in the input.
 double valueOfNextReplica(const DomainPlanInput&, const ModelSpec&, uint32_t additional);
 
 // Compares all numbers of replicas by model that the free hosts of one domain could form: now, after loads that are
--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -17,8 +17,9 @@
     // Value of a load on an idle host that already holds a model, relative to a cold host: it may find a replica
     // without the load.
     constexpr double warmHostValueFactor = 0.5;
-    // The hosts of a dissolved replica form others within seconds, once those of other dissolved replicas are free, too.
-    // Loads ordered in that moment took all of the weight store for a load time, and hosts without a model had to wait.
+    // The hosts of a dissolved replica form others within seconds, once those of other dissolved replicas are free,
+    // too. Loads ordered in that moment took all of the weight store for a load time, and hosts without a model had to
+    // wait.
     constexpr Milliseconds minIdleBeforeReload { 2000 };
     // Part of the concurrent loads that hosts which hold a model may use; the rest is for those that hold none.
     constexpr uint32_t reloadDivisor = 2;
@@ -118,8 +119,7 @@
     auto idleSince = m_idleSince.find(host.id);
     if (idleSince == m_idleSince.end() || input.now - idleSince->second < minIdleBeforeReload)
         return false;
-    auto reloads
-        = std::ranges::count_if(m_stagings, [](const auto& entry) { return entry.second.isOfWarmHost; });
+    auto reloads = std::ranges::count_if(m_stagings, [](const auto& entry) { return entry.second.isOfWarmHost; });
     return static_cast<uint32_t>(reloads) < std::max(1u, input.service.timing.concurrentLoads / reloadDivisor);
 }
 
--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -33,8 +33,8 @@
 
     // Call before each plan() with all hosts that belong to no replica.
     void observeIdleHosts(const HostsByDomain& freeHosts, MonotonicTime now);
-    // Planned loads begin before all others, the most valuable first. Appends to orders. freeHosts: hosts that belong to no replica; formationLoads: loads in progress for forming
-    // replicas.
+    // Planned loads begin before all others, the most valuable first. Appends to orders. freeHosts: hosts that belong
+    // to no replica; formationLoads: loads in progress for forming replicas.
     void plan(const PlannerInput&, const ModelNeeds&, std::vector<PlannedLoad>, const HostsByDomain& freeHosts,
         ReplicasByDomain, uint32_t formationLoads, std::vector<HostOrder>& orders);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -164,7 +164,8 @@
     bool recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
     size_t formByDomainPlan(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
-    size_t formPlanned(const PlannerInput&, PlanState&, const WantedReplicas&, std::set<std::string, std::less<>>& waitingDomains, size_t maxJoins, std::vector<HostOrder>&);
+    size_t formPlanned(const PlannerInput&, PlanState&, const WantedReplicas&,
+        std::set<std::string, std::less<>>& waitingDomains, size_t maxJoins, std::vector<HostOrder>&);
     void updateGroupings(const PlannerInput&, const PlanState&, const WantedReplicas&);
     void updatePeakWanted(const PlannerInput&);
     const PlannedReplica* bestFormable(const PlannerInput&, std::set<std::string, std::less<>>& waitingDomains);
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -123,8 +123,8 @@
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
                 { "wanted", wanted }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
                 { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
-                { "in_doubt", summary.health[HealthState::InDoubt] }, { "free_by_domain", summary.freeByDomain }, { "planned_by_domain", summary.plannedByDomain },
-                { "free_by_reason", summary.freeByReason } });
+                { "in_doubt", summary.health[HealthState::InDoubt] }, { "free_by_domain", summary.freeByDomain },
+                { "planned_by_domain", summary.plannedByDomain }, { "free_by_reason", summary.freeByReason } });
         for (const auto& [reason, hosts] : summary.freeByReason) {
             m_context.metrics.count(
                 fmt::format("free_host_seconds_total{{reason=\"{}\"}}", reason), hosts * summaryPeriod.count());
--- a/tests/fleet/domainlosses_test.cpp
+++ b/tests/fleet/domainlosses_test.cpp
@@ -69,9 +69,9 @@
             for (const auto& [domain, hosts] : idle) {
                 if (!canServeShortModel(hosts.size()))
                     continue;
-                result.idleHostSeconds += step * static_cast<double>(std::ranges::count_if(hosts, [&](const Host* host) {
-                    return m_world.now - m_idleSince.at(host->id) > idleTolerance;
-                }));
+                result.idleHostSeconds += step
+                    * static_cast<double>(std::ranges::count_if(hosts,
+                        [&](const Host* host) { return m_world.now - m_idleSince.at(host->id) > idleTolerance; }));
             }
         }
 
@@ -81,7 +81,8 @@
         bool canServeShortModel(size_t hosts) const
         {
             return std::ranges::any_of(m_world.service.models, [&](const ModelSpec& model) {
-                bool isShort = static_cast<double>(m_world.serving(model.name)) + 1 <= m_world.wantedReplicas.at(model.name);
+                bool isShort
+                    = static_cast<double>(m_world.serving(model.name)) + 1 <= m_world.wantedReplicas.at(model.name);
                 return isShort && hosts >= model.hostsPerReplica;
             });
         }
@@ -150,10 +151,7 @@
 }
 
 // Hosts fail every three seconds and empty ones replace them, with replicas of 12 and 6 hosts in domains of 27.
-TEST(DomainLosses, TwelveAndSix)
-{
-    compare({ { 12, 6, 6, 27 }, 6.8, 13.5, 2, Milliseconds(3000), 12, 0 });
-}
+TEST(DomainLosses, TwelveAndSix) { compare({ { 12, 6, 6, 27 }, 6.8, 13.5, 2, Milliseconds(3000), 12, 0 }); }
 
 TEST(DomainLosses, EightAndTwo) { compare({ { 8, 2, 9, 18 }, 9, 36, 2, Milliseconds(3000), 12, 0 }); }
 
@@ -167,10 +165,7 @@
 
 // The needs of both models are above what the fleet can serve, and hosts fail faster than loads end: no choice serves
 // much more, and this one must not serve less.
-TEST(DomainLosses, BothModelsShort)
-{
-    compare({ { 12, 6, 6, 27 }, 9, 20, 3, Milliseconds(3000), 12, 4, 1.05 });
-}
+TEST(DomainLosses, BothModelsShort) { compare({ { 12, 6, 6, 27 }, 9, 20, 3, Milliseconds(3000), 12, 4, 1.05 }); }
 
 // With a third of the hosts gone for good, both models are short for ever. Hosts must not move between them for ever.
 TEST(DomainLosses, SettlesOnceNoMoreHostsFail)
--- a/tests/fleet/domainplan_test.cpp
+++ b/tests/fleet/domainplan_test.cpp
@@ -92,7 +92,8 @@
                 return value;
             value += valueOfNextReplica(input, *best, added[best->name]++);
             uint32_t taken = 0;
-            std::ranges::stable_partition(hosts, [&](const Host* host) { return host->status.lastModel == best->name; });
+            std::ranges::stable_partition(
+                hosts, [&](const Host* host) { return host->status.lastModel == best->name; });
             std::erase_if(hosts, [&](const Host* host) {
                 return host->status.hasLocalCopy(best->name) && taken < best->hostsPerReplica && ++taken > 0;
             });
@@ -246,8 +247,8 @@
         add(id, "domain-b", "", std::nullopt);
     world.run(Milliseconds(3500)); // Hosts that hold a model begin loads only after three seconds.
     std::vector<HostOrder> loads;
-    std::ranges::copy_if(world.orders, std::back_inserter(loads),
-        [](const HostOrder& order) { return order.kind == OrderKind::Stage; });
+    std::ranges::copy_if(
+        world.orders, std::back_inserter(loads), [](const HostOrder& order) { return order.kind == OrderKind::Stage; });
     ASSERT_EQ(loads.size(), 3u);
     for (const HostOrder& order : loads) {
         EXPECT_EQ(order.model, "small");
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -48,7 +48,8 @@
                     auto found = contacts.find(std::string(id));
                     return found == contacts.end() ? HostContact::Reachable : found->second;
                 },
-                [this](std::string_view id) { return stalledHeads.contains(std::string(id)); }, isBeforeTraffic, disabledMechanisms,
+                [this](std::string_view id) { return stalledHeads.contains(std::string(id)); }, isBeforeTraffic,
+                disabledMechanisms,
                 [this](std::string_view id) {
                     auto found = inFlight.find(id);
                     return found == inFlight.end() ? 0u : found->second;
