Keep a replica that progresses, whoever is silent or unlisted

Callers saw streams broken and then refusals for seconds when some backend servers lost the store or the controller: their replicas were dissolved though every one of their hosts still worked, and the hosts loaded models again.

Cause: a member that was unlisted and did not answer a status request counted as lost, and a head whose entry had expired lost its replica at once. Neither proves anything; streams that go on prove that no host is missing.

Change: fleet/replicahealth says whole, in doubt or broken of each replica from all that is known.

--- a/src/fleet/replicahealth.cpp
+++ b/src/fleet/replicahealth.cpp
@@ -15,6 +15,8 @@
     // A list that was read for the first time lacks the hosts whose entries expired while the store was away. They are
     // back within this time.
     constexpr Milliseconds listRecovery { 2200 };
+    // In which a silent host is polled again, by this node and through others.
+    constexpr Milliseconds confirmationTime { 600 };
     // A replica that was never seen complete but makes progress is kept for the usual length of a partition.
     constexpr std::chrono::seconds maxIncompleteDoubt { 15 };
 
@@ -56,6 +58,13 @@
             return mayProgress() && since != health.suspects.end() && *evidence.progressAt > since->second;
         }
 
+        // Of a host that was polled since it became suspect; an earlier result may be of the cut that has just ended.
+        bool isConfirmedSilent(const HostEvidence& host) const
+        {
+            return host.contact == HostContact::UnreachableByAll
+                && evidence.now - health.suspects.at(host.id) >= confirmationTime;
+        }
+
         Finding silent(const HostEvidence& host) const
         {
             if (evidence.isStalled)
@@ -66,7 +75,7 @@
                 return { HealthState::InDoubt, HealthReason::HostSilent };
             // An unlisted head gets no new requests, so its streams end although it is whole.
             bool hasStopped = !host.isHead && evidence.inFlight > 0 && evidence.progressAt.has_value();
-            if (hasStopped || host.contact == HostContact::UnreachableByAll)
+            if (hasStopped || isConfirmedSilent(host))
                 return { HealthState::Broken, HealthReason::HostLost };
             return { HealthState::InDoubt, HealthReason::HostSilent };
         }
--- a/tests/fleet/replicahealth_test.cpp
+++ b/tests/fleet/replicahealth_test.cpp
@@ -194,6 +194,16 @@
     EXPECT_EQ(assessHealth(evidence, suspectSince(start - Milliseconds(400))).state, HealthState::Broken);
 }
 
+// Hosts that return from a cut were last found silent during it.
+TEST(ReplicaHealth, ASilenceIsConfirmedBeforeItCounts)
+{
+    ReplicaEvidence evidence = evidenceOfSilentMember();
+    evidence.inFlight = 0;
+    evidence.hosts[1].contact = HostContact::UnreachableByAll;
+    EXPECT_EQ(assessHealth(evidence, {}).state, HealthState::InDoubt);
+    EXPECT_EQ(assessHealth(evidence, suspectSince(start - Milliseconds(700))).state, HealthState::Broken);
+}
+
 TEST(ReplicaHealth, KeepsTheBeginningOfADoubt)
 {
     ReplicaEvidence evidence = evidenceOfSilentMember();
