--- a/src/fleet/warmuplimits.cpp
+++ b/src/fleet/warmuplimits.cpp
@@ -105,14 +105,14 @@
             entry = m_servers.erase(entry);
         }
     }
-    if (m_servers.empty())
-        return;
     // All with the same CPU share: each node has calls of its own, and those of a few large nodes would not fill the
     // budget.
     std::vector<CandidateNode> nodes;
-    for (const auto& [address, aliveAt] : m_nodes)
-        nodes.push_back({ address, 1 });
-    m_limits.assignShares(nodes, self, now);
+    for (const auto& [address, aliveAt] : m_nodes) {
+        if (!m_servers.empty())
+            nodes.push_back({ address, 1 });
+    }
+    m_limits.assignShares(nodes, self, now); // Without cold servers, it only drops old counts of requests.
 }
 
 } // namespace Kumquatpick
