A domain's free hosts are one decision, and loads go where they complete a replica

Callers of both models were refused or late while 26 to 38 hosts stood idle: free hosts became replicas one at a time, and all loads of the weight store were ordered within a second for hosts that were free only until they formed their next replica, or for spare hosts. Empty hosts then waited for a load time.

The free hosts of a domain are now grouped by one decision over all models (domainplan): the numbers of replicas by model that serve most urgent demand over two load times, formed now or after loads. Loads that complete a planned replica begin first, chosen by the recent peak of demand. Hosts that hold a model load another one only after two idle seconds and on at most half of the weight store. Mechanism "domain-plan" switches all of it off. The log line "replicas" tells the plan and why hosts are free; free_host_seconds_total counts them by reason.

PlannerWorld gives each added host its own address: after removals it had reused one, so the listed replacement was taken for the host that had it.

--- a/src/fleet/mechanism.h
+++ b/src/fleet/mechanism.h
@@ -25,11 +25,12 @@
     LoadExchange, // One node of a zone adds up the requests in flight of all its nodes.
     LargerFirst, // Hosts that a larger model needs do not join a smaller model that has enough hosts.
     CallRelay, // A node that is cut off from backend servers passes calls to nodes that are not.
+    DomainPlan, // One decision over all models chooses the replicas of a domain's free hosts and their loads.
 };
 
 inline constexpr std::array mechanismNames { "shift", "second-models", "stuck-loads", "homes", "standing-cut", "resume",
     "return-order", "early-refusal", "return-spread", "relayed-probes", "conditional-joins", "store-readers",
-    "control-candidates", "load-exchange", "larger-first", "call-relay" };
+    "control-candidates", "load-exchange", "larger-first", "call-relay", "domain-plan" };
 
 // The set of disabled mechanisms.
 class DisabledMechanisms {
--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -17,6 +17,12 @@
     // Value of a load on an idle host that already holds a model, relative to a cold host: it may find a replica
     // without the load.
     constexpr double warmHostValueFactor = 0.5;
+    // The hosts of a dissolved replica form others within seconds, once those of other dissolved replicas are free,
+    // too. Loads ordered in that moment took all of the weight store for a load time, and hosts without a model had to
+    // wait.
+    constexpr Milliseconds minIdleBeforeReload { 2000 };
+    // Part of the concurrent loads that hosts which hold a model may use; the rest is for those that hold none.
+    constexpr uint32_t reloadDivisor = 2;
     // Spare hosts that a domain keeps for each replica of a model: several hosts are often lost in the time that the
     // load of another spare takes.
     constexpr uint32_t sparesPerReplica = 2;
@@ -41,13 +47,14 @@
 
 }
 
-void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, const HostsByDomain& freeHosts,
-    ReplicasByDomain replicas, uint32_t formationLoads, std::vector<HostOrder>& orders)
+void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, std::vector<PlannedLoad> plannedLoads,
+    const HostsByDomain& freeHosts, ReplicasByDomain replicas, uint32_t formationLoads, std::vector<HostOrder>& orders)
 {
     m_hostsToPoll.clear();
     m_replicas = std::move(replicas);
     m_formationLoads = formationLoads;
     removeFinished(input);
+    stagePlanned(input, std::move(plannedLoads), orders);
     stageIdleHosts(input, needs, freeHosts, orders);
     if (!input.disabledMechanisms.contains(Mechanism::SecondModels))
         stageSecondModels(input, needs, orders);
@@ -75,6 +82,69 @@
     return count != replicas->second.end() && spares < count->second * sparesPerReplica;
 }
 
+void ModelStaging::stagePlanned(
+    const PlannerInput& input, std::vector<PlannedLoad> plannedLoads, std::vector<HostOrder>& orders)
+{
+    m_pendingLoads = 0;
+    std::ranges::stable_sort(plannedLoads, std::greater(), &PlannedLoad::value);
+    for (const PlannedLoad& load : plannedLoads) {
+        if (!mayLoad(input, *load.host, *load.model))
+            continue;
+        if (!load.host->status.lastModel.empty() && !mayReload(input, *load.host)) {
+            ++m_pendingLoads;
+            continue;
+        }
+        if (!tryAcquireLoad(input, input.service.timing.concurrentLoads))
+            return;
+        stage(input, *load.host, load.model->name, orders);
+        m_hostsToPoll.insert(load.host->id);
+    }
+}
+
+bool ModelStaging::mayLoad(const PlannerInput& input, const Host& host, const ModelSpec& model) const
+{
+    const HostStatus& status = host.status;
+    if (status.hasLocalCopy(model.name) || m_stagings.contains(host.id) || m_refusedAt.contains(host.id))
+        return false;
+    bool isCold = status.lastModel.empty() && status.stagedModels.empty();
+    return isCold || (!status.lastModel.empty() && !input.disabledMechanisms.contains(Mechanism::IdleHostReload));
+}
+
+bool ModelStaging::mayReload(const PlannerInput& input, const Host& host) const
+{
+    if (input.disabledMechanisms.contains(Mechanism::IdleHostReload))
+        return false;
+    if (input.isBeforeTraffic || input.disabledMechanisms.contains(Mechanism::DomainPlan))
+        return true;
+    auto idleSince = m_idleSince.find(host.id);
+    if (idleSince == m_idleSince.end() || input.now - idleSince->second < minIdleBeforeReload)
+        return false;
+    auto reloads = std::ranges::count_if(m_stagings, [](const auto& entry) { return entry.second.isOfWarmHost; });
+    return static_cast<uint32_t>(reloads) < std::max(1u, input.service.timing.concurrentLoads / reloadDivisor);
+}
+
+void ModelStaging::observeIdleHosts(const HostsByDomain& freeHosts, MonotonicTime now)
+{
+    std::map<std::string, MonotonicTime, std::less<>> idleSince;
+    for (const auto& [domain, hosts] : freeHosts) {
+        for (const Host* host : hosts) {
+            auto known = m_idleSince.find(host->id);
+            idleSince[host->id] = known == m_idleSince.end() ? now : known->second;
+        }
+    }
+    m_idleSince = std::move(idleSince);
+}
+
+std::optional<Milliseconds> ModelStaging::remainingLoad(
+    const Host& host, const ModelSpec& model, MonotonicTime now) const
+{
+    auto staging = m_stagings.find(host.id);
+    if (staging == m_stagings.end() || staging->second.model != model.name)
+        return std::nullopt;
+    auto elapsed = std::chrono::floor<Milliseconds>(now - staging->second.startedAt);
+    return std::max(model.load - elapsed, Milliseconds(0));
+}
+
 // Hosts that are idle after all replicas were formed hold no model, or one for which the domain has too few hosts. They
 // load the model that is then closest to a further replica, the closest first.
 void ModelStaging::stageIdleHosts(
@@ -90,7 +160,8 @@
                     considerIdleHost(input, *host, hosts, needs, best);
             }
         }
-        if (!best || !tryAcquireLoad(input, input.service.timing.concurrentLoads))
+        uint32_t maxLoads = input.service.timing.concurrentLoads;
+        if (!best || !tryAcquireLoad(input, maxLoads - std::min(maxLoads, m_pendingLoads)))
             return;
         stage(input, *best->host, best->model, orders);
     }
@@ -103,7 +174,7 @@
     bool isCold = status.lastModel.empty() && status.stagedModels.empty();
     // A load replaces the staged copy, which is the only model of a host that has run none yet.
     bool wouldEvictOnlyCopy = status.lastModel.empty() && !isCold;
-    if (wouldEvictOnlyCopy || (!isCold && input.disabledMechanisms.contains(Mechanism::IdleHostReload)))
+    if (wouldEvictOnlyCopy || (!isCold && !mayReload(input, host)))
         return;
     uint32_t largest = 1;
     for (const ModelSpec& model : input.service.models)
@@ -163,7 +234,8 @@
 void ModelStaging::stage(
     const PlannerInput& input, const Host& host, std::string_view model, std::vector<HostOrder>& orders)
 {
-    m_stagings[host.id] = { std::string(model), input.now };
+    bool isWarm = !host.status.lastModel.empty() || !host.status.stagedModels.empty();
+    m_stagings[host.id] = { std::string(model), input.now, isWarm };
     HostOrder order;
     order.kind = OrderKind::Stage;
     order.hostId = host.id;
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <span>
 
 // The part of ReplicaPlanner that chooses which replicas to form from idle hosts, and which to dissolve in favour of a
 // model that needs replicas more.
@@ -236,6 +237,7 @@
 
 void ReplicaPlanner::formReplicas(const PlannerInput& input, PlanState& planState, std::vector<HostOrder>& orders)
 {
+    m_staging.observeIdleHosts(planState.freeHosts, input.now);
     // All idle hosts are polled, including those not chosen now, so that later choices need not wait.
     bool allReported = true;
     for (const auto& [domain, hosts] : planState.freeHosts)
@@ -247,7 +249,7 @@
     shiftReplicas(input, planState);
     for (const auto& [domain, hosts] : planState.freeHosts)
         planState.candidates[domain] = candidatesIn(input, hosts);
-    size_t joins = 0;
+    size_t joins = formByDomainPlan(input, planState, orders);
     while (const Candidate* candidate = bestCandidate(input, planState)) {
         if (joins >= maxJoinsPerPlan)
             return;
@@ -260,11 +262,172 @@
         formReplica(input, planState, *candidate, orders);
         joins += m_formations.back().members.size();
     }
-    m_staging.plan(input, computeNeeds(input, planState), planState.freeHosts, replicasByDomain(input, planState),
+    HostsByDomain unplanned;
+    for (const auto& [domain, hosts] : planState.freeHosts)
+        unplanned[domain] = unplannedHosts(domain, hosts);
+    m_staging.plan(input, computeNeeds(input, planState), plannedLoads(), unplanned, replicasByDomain(input, planState),
         loadsOfFormations(input), orders);
+    for (const auto& [domain, grouping] : m_groupings) {
+        for (const PlannedReplica& replica : grouping) {
+            for (const Host* host : replica.members)
+                m_hostsToPollLater.insert(host->id);
+        }
+    }
     m_hostsToPollLater.insert(m_staging.hostsToPoll().begin(), m_staging.hostsToPoll().end());
 }
 
+void ReplicaPlanner::updateGroupings(
+    const PlannerInput& input, const PlanState& planState, const WantedReplicas& wanted)
+{
+    m_groupings.clear();
+    uint32_t loads = m_staging.loads() + loadsOfFormations(input);
+    uint32_t maxLoads = input.service.timing.concurrentLoads;
+    DomainPlanInput planInput { input.service, wanted, planState.replicaCounts,
+        [&](const Host& host, const ModelSpec& model) { return m_staging.remainingLoad(host, model, input.now); },
+        [&](const Host& host, const ModelSpec& model) { return m_staging.mayLoad(input, host, model); },
+        maxLoads - std::min(loads, maxLoads) };
+    for (const auto& [domain, hosts] : planState.freeHosts) {
+        // The hosts of a domain with a shift are reserved for its model.
+        if (!m_shifts.contains(domain))
+            m_groupings[domain] = chooseGrouping(planInput, hosts);
+    }
+}
+
+// The most valuable planned replica whose members all hold its model and have reported.
+const PlannedReplica* ReplicaPlanner::bestFormable(
+    const PlannerInput& input, std::set<std::string, std::less<>>& waitingDomains)
+{
+    const PlannedReplica* best = nullptr;
+    for (const auto& [domain, grouping] : m_groupings) {
+        if (waitingDomains.contains(domain))
+            continue;
+        for (const PlannedReplica& replica : grouping) {
+            if (!replica.canFormNow || (best && replica.value <= best->value))
+                continue;
+            if (requireReports(input, replica.members))
+                best = &replica;
+            else
+                waitingDomains.insert(domain);
+        }
+    }
+    return best;
+}
+
+// Demand rises and falls within the time that a load takes, so loads are chosen by its recent peak.
+void ReplicaPlanner::updatePeakWanted(const PlannerInput& input)
+{
+    Milliseconds period {};
+    for (const ModelSpec& model : input.service.models)
+        period = std::max(period, model.load);
+    for (const auto& [model, wanted] : input.wantedReplicas) {
+        auto& peaks = m_wantedPeaks[model];
+        while (!peaks.empty() && peaks.back().second <= wanted)
+            peaks.pop_back();
+        peaks.emplace_back(input.now, wanted);
+        while (input.now - peaks.front().first > period)
+            peaks.pop_front();
+    }
+}
+
+// Returns the number of joins ordered. First the replicas that the current demand needs, then those of its recent peak.
+size_t ReplicaPlanner::formByDomainPlan(const PlannerInput& input, PlanState& planState, std::vector<HostOrder>& orders)
+{
+    m_groupings.clear();
+    if (input.isBeforeTraffic || input.disabledMechanisms.contains(Mechanism::DomainPlan))
+        return 0;
+    updatePeakWanted(input);
+    WantedReplicas peak;
+    for (const auto& [model, wanted] : input.wantedReplicas)
+        peak[model] = m_wantedPeaks.at(model).front().second;
+    std::set<std::string, std::less<>> waitingDomains;
+    size_t joins = formPlanned(input, planState, input.wantedReplicas, waitingDomains, maxJoinsPerPlan, orders);
+    size_t remaining = maxJoinsPerPlan - std::min(joins, maxJoinsPerPlan);
+    joins += formPlanned(input, planState, peak, waitingDomains, remaining, orders);
+    for (const auto& [domain, hosts] : planState.freeHosts)
+        planState.candidates[domain] = candidatesIn(input, unplannedHosts(domain, hosts));
+    return joins;
+}
+
+// Leaves the groupings of the remaining hosts in m_groupings.
+size_t ReplicaPlanner::formPlanned(const PlannerInput& input, PlanState& planState, const WantedReplicas& wanted,
+    std::set<std::string, std::less<>>& waitingDomains, size_t maxJoins, std::vector<HostOrder>& orders)
+{
+    size_t joins = 0;
+    updateGroupings(input, planState, wanted);
+    while (joins < maxJoins) {
+        const PlannedReplica* replica = bestFormable(input, waitingDomains);
+        if (!replica)
+            break;
+        formReplica(input, planState, { replica->model, replica->members, 0 }, orders);
+        joins += m_formations.back().members.size();
+        updateGroupings(input, planState, wanted);
+    }
+    return joins;
+}
+
+// Without the hosts of planned replicas that cannot form yet, which are not available to models that have enough.
+std::vector<const Host*> ReplicaPlanner::unplannedHosts(
+    std::string_view domain, const std::vector<const Host*>& freeHosts) const
+{
+    std::vector<const Host*> result = freeHosts;
+    auto grouping = m_groupings.find(domain);
+    if (grouping == m_groupings.end())
+        return result;
+    for (const PlannedReplica& replica : grouping->second) {
+        std::erase_if(result,
+            [&](const Host* host) { return std::ranges::find(replica.members, host) != replica.members.end(); });
+    }
+    return result;
+}
+
+// Loads that complete a replica sooner, with fewer other loads, come first.
+std::vector<ModelStaging::PlannedLoad> ReplicaPlanner::plannedLoads() const
+{
+    std::vector<ModelStaging::PlannedLoad> result;
+    for (const auto& [domain, grouping] : m_groupings) {
+        for (const PlannedReplica& replica : grouping) {
+            for (const Host* host : replica.hostsToLoad)
+                result.push_back(
+                    { host, replica.model, replica.value / static_cast<double>(replica.hostsToLoad.size()) });
+        }
+    }
+    return result;
+}
+
+bool ReplicaPlanner::isAnyModelShort(const PlannerInput& input, const Summary& summary) const
+{
+    return std::ranges::any_of(input.wantedReplicas, [&](const auto& entry) {
+        auto countIn = [&](const auto& counts) {
+            auto found = counts.find(entry.first);
+            return found == counts.end() ? 0u : found->second;
+        };
+        return entry.second >= 1 + countIn(summary.open) + countIn(summary.forming);
+    });
+}
+
+void ReplicaPlanner::summarizePlan(const PlannerInput& input, const HostsByDomain& freeHosts, Summary& summary) const
+{
+    const char* otherReason = isAnyModelShort(input, summary) ? "too_few_in_domain" : "not_needed";
+    for (const auto& [domain, hosts] : freeHosts) {
+        auto unplanned = static_cast<uint32_t>(hosts.size());
+        auto grouping = m_groupings.find(domain);
+        std::span<const PlannedReplica> replicas;
+        if (grouping != m_groupings.end())
+            replicas = grouping->second;
+        for (const PlannedReplica& replica : replicas) {
+            auto members = static_cast<uint32_t>(replica.members.size());
+            unplanned -= std::min(unplanned, members);
+            const char* reason = replica.canFormNow ? "report" : replica.hostsToLoad.empty() ? "load" : "load_queue";
+            summary.freeByReason[reason] += members;
+            std::string& planned = summary.plannedByDomain[domain];
+            planned += fmt::format("{}{}: {} hosts, {} loads to begin, ready in {:.1f} s", planned.empty() ? "" : "; ",
+                replica.model->name, members, replica.hostsToLoad.size(), toSeconds(replica.readyIn));
+        }
+        if (unplanned > 0)
+            summary.freeByReason[m_shifts.contains(domain) ? "shift" : otherReason] += unplanned;
+    }
+}
+
 // The candidate is part of planState and is invalid after its candidates are recomputed.
 void ReplicaPlanner::formReplica(
     const PlannerInput& input, PlanState& planState, const Candidate& candidate, std::vector<HostOrder>& orders)
@@ -294,7 +457,7 @@
     }
     auto& freeHosts = planState.freeHosts.at(domain);
     std::erase_if(freeHosts, [this](const Host* host) { return m_formingHosts.contains(host->id); });
-    planState.candidates[domain] = candidatesIn(input, freeHosts);
+    planState.candidates[domain] = candidatesIn(input, unplannedHosts(domain, freeHosts));
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -464,7 +464,9 @@
     for (const auto& [domain, shift] : m_shifts)
         summary.shift += fmt::format("{}{} in {}", summary.shift.empty() ? "" : ", ", shift.model, domain);
     summary.loads = m_staging.loads() + loadsOfFormations(input);
-    for (const auto& [domain, hosts] : freeHostsByDomain(input)) {
+    HostsByDomain freeHosts = freeHostsByDomain(input);
+    summarizePlan(input, freeHosts, summary);
+    for (const auto& [domain, hosts] : freeHosts) {
         summary.freeHosts += hosts.size();
         auto& staged = summary.freeByDomain[fmt::format("{} ({})", domain, m_domainAssignment.assignedModel(domain))];
         for (const Host* host : hosts)
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "fleet/config.h"
 #include "fleet/domainassignment.h"
+#include "fleet/domainplan.h"
 #include "fleet/hostorder.h"
 #include "fleet/modelstaging.h"
 #include "fleet/ordercounts.h"
@@ -10,6 +11,7 @@
 #include "fleet/replicashift.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,6 +55,10 @@
         std::string shift; // Models whose replicas replace those of other models, with the domain; empty if none.
         // By domain and its assigned model: the number of free hosts by staged model.
         std::map<std::string, std::map<std::string, uint32_t>> freeByDomain;
+        // By domain: the replicas planned from its free hosts that cannot form yet, and what they wait for.
+        std::map<std::string, std::string> plannedByDomain;
+        // Free hosts by the reason why they serve no model.
+        std::map<std::string, uint32_t> freeByReason;
     };
     Summary summary(const PlannerInput&) const;
 
@@ -98,6 +104,7 @@
         Lost, // Unreachable or ended; its members may be ordered to leave.
         Left, // Its members are free.
     };
+    using WantedReplicas = std::map<std::string, double, std::less<>>; // By model.
     using ReplicaKey = std::pair<std::string, uint64_t>;
     // Replaces replicas of other models by one of this model. Free hosts of the domain are reserved for it until it
     // starts to form.
@@ -137,6 +144,16 @@
     void orderMembersLeave(const PlannerInput&, const ReplicaView&, TrackedReplica&, std::vector<HostOrder>&);
     bool recordSendIfDue(std::optional<MonotonicTime>& sentAt, MonotonicTime now) const;
     void formReplicas(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
+    size_t formByDomainPlan(const PlannerInput&, PlanState&, std::vector<HostOrder>&);
+    size_t formPlanned(const PlannerInput&, PlanState&, const WantedReplicas&,
+        std::set<std::string, std::less<>>& waitingDomains, size_t maxJoins, std::vector<HostOrder>&);
+    void updateGroupings(const PlannerInput&, const PlanState&, const WantedReplicas&);
+    void updatePeakWanted(const PlannerInput&);
+    const PlannedReplica* bestFormable(const PlannerInput&, std::set<std::string, std::less<>>& waitingDomains);
+    std::vector<const Host*> unplannedHosts(std::string_view domain, const std::vector<const Host*>& freeHosts) const;
+    std::vector<ModelStaging::PlannedLoad> plannedLoads() const;
+    void summarizePlan(const PlannerInput&, const HostsByDomain& freeHosts, Summary&) const;
+    bool isAnyModelShort(const PlannerInput&, const Summary&) const;
     void formReplica(const PlannerInput&, PlanState&, const Candidate&, std::vector<HostOrder>&);
     ModelNeeds computeNeeds(const PlannerInput&, const PlanState&) const;
     const Candidate* bestCandidate(const PlannerInput&, const PlanState&) const;
@@ -174,6 +191,8 @@
     OrderCounts m_orderCounts;
     DomainAssignment m_domainAssignment;
     std::map<std::string, Shift, std::less<>> m_shifts; // By domain.
+    std::map<std::string, std::deque<std::pair<MonotonicTime, double>>, std::less<>> m_wantedPeaks; // Falling values.
+    std::map<std::string, DomainGrouping, std::less<>> m_groupings; // By domain; valid during plan() only.
     std::set<std::string, std::less<>> m_hostsToPoll;
     std::set<std::string, std::less<>> m_hostsToPollLater;
     std::optional<MonotonicTime> m_firstHostSeenAt; // When the first host was listed.
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -4,6 +4,7 @@
 #include "gateway/task.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Kumquatpick {
@@ -113,7 +114,12 @@
             { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
                 { "wanted", wanted }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
                 { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
-                { "free_by_domain", summary.freeByDomain } });
+                { "free_by_domain", summary.freeByDomain }, { "planned_by_domain", summary.plannedByDomain },
+                { "free_by_reason", summary.freeByReason } });
+        for (const auto& [reason, hosts] : summary.freeByReason) {
+            m_context.metrics.count(
+                fmt::format("free_host_seconds_total{{reason=\"{}\"}}", reason), hosts * summaryPeriod.count());
+        }
     }
     for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
--- a/tests/fleet/lossyworld.h
+++ b/tests/fleet/lossyworld.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 #include <map>
+#include <random>
 
 namespace Kumquatpick {
 
@@ -54,15 +55,23 @@
                 members.insert(members.end(), replica.members.begin(), replica.members.end());
         }
         for (size_t i = 0; i < std::min(count, members.size()); ++i) {
-            const Host* lost = members[(i * m_sizes.large + 1) % members.size()];
-            contacts[lost->id] = HostContact::Unreachable;
-            nonReportingHosts.insert(lost->id);
-            m_unlistTimes[lost->id] = now + Milliseconds(3600);
-            for (const ReplicaView& replica : openReplicas()) {
-                if (replica.head && std::ranges::find(replica.members, lost) != replica.members.end())
-                    stalledHeads.insert(replica.head->id);
-            }
+            loseHost(*members[(i * m_sizes.large + 1) % members.size()]);
+        }
+    }
+
+    // Fails this many different hosts of the domain, whether they belong to a replica or not. Returns their number.
+    int loseHosts(int domain, int count, unsigned seed)
+    {
+        std::vector<const Host*> alive;
+        for (const auto& [id, host] : table.hosts()) {
+            if (host.status.domain == domainName(domain) && !contacts.contains(id))
+                alive.push_back(&host);
         }
+        std::ranges::shuffle(alive, std::minstd_rand(seed + 1));
+        alive.resize(std::min(alive.size(), static_cast<size_t>(count)));
+        for (const Host* host : alive)
+            loseHost(*host);
+        return static_cast<int>(alive.size());
     }
 
     void addEmptyHosts(int domain, int count)
@@ -82,6 +91,17 @@
     }
 
 private:
+    void loseHost(const Host& lost)
+    {
+        contacts[lost.id] = HostContact::Unreachable;
+        nonReportingHosts.insert(lost.id);
+        m_unlistTimes[lost.id] = now + Milliseconds(3600);
+        for (const ReplicaView& replica : openReplicas()) {
+            if (replica.head && std::ranges::find(replica.members, &lost) != replica.members.end())
+                stalledHeads.insert(replica.head->id);
+        }
+    }
+
     static std::string domainName(int domain) { return fmt::format("domain-{:02}", domain); }
 
     OrderResult applyOrderWithDelays(const HostOrder& order)
--- a/tests/fleet/plannerworld.h
+++ b/tests/fleet/plannerworld.h
@@ -33,7 +33,7 @@
         Host host;
         host.id = id;
         host.service = service.name;
-        host.address = { "10.0.0.1", static_cast<uint16_t>(1000 + table.hosts().size()) };
+        host.address = { "10.0.0.1", static_cast<uint16_t>(1000 + m_addedHosts++) };
         host.status.domain = domain;
         table.applyListEntry(host, now);
     }
@@ -47,7 +47,8 @@
                     auto found = contacts.find(std::string(id));
                     return found == contacts.end() ? HostContact::Reachable : found->second;
                 },
-                [this](std::string_view id) { return stalledHeads.contains(std::string(id)); }, isBeforeTraffic, {},
+                [this](std::string_view id) { return stalledHeads.contains(std::string(id)); }, isBeforeTraffic,
+                disabledMechanisms,
                 [this](std::string_view id) {
                     auto found = inFlight.find(id);
                     return found == inFlight.end() ? 0u : found->second;
@@ -171,6 +172,7 @@
     std::map<std::string, uint64_t, std::less<>> ordersAccepted; // As counted by the hosts.
     std::optional<Milliseconds> closingDuration; // How long a closed head finishes its requests; nothing: for ever.
     bool isBeforeTraffic = true;
+    DisabledMechanisms disabledMechanisms;
     std::function<OrderResult(const HostOrder&)> handleOrder
         = [this](const HostOrder& order) { return applyOrder(order); };
     std::vector<HostOrder> orders;
@@ -180,6 +182,7 @@
 
 private:
     std::map<std::string, MonotonicTime> m_closedAt; // By head.
+    size_t m_addedHosts = 0; // Gives each host its own address, also after others were removed.
 };
 
 inline ModelSpec makeModel(std::string name, uint32_t hosts)
