--- a/src/fleet/balancer.cpp
+++ b/src/fleet/balancer.cpp
@@ -95,11 +95,60 @@
         && std::ranges::find(request.excludedHosts, target.serving.hostId) == request.excludedHosts.end();
 }
 
+HeadLoad Balancer::headLoad(const Target& target)
+{
+    const ServingTarget& serving = target.serving;
+    return { serving.hostId, serving.service, serving.model, serving.capacity, serving.pace,
+        target.localInFlight + target.remoteInFlight };
+}
+
+std::optional<HeadLoad> Balancer::headLoad(std::string_view hostId) const
+{
+    auto found = m_targets.find(hostId);
+    if (found == m_targets.end())
+        return std::nullopt;
+    return headLoad(found->second);
+}
+
+bool Balancer::isInTime(const Target& target, const ChoiceRequest& request, MonotonicTime now) const
+{
+    const FirstEventBound& bound = request.firstEvent;
+    if (!bound.forecast)
+        return true;
+    std::optional<ForecastedTime> predicted = bound.forecast->predict(headLoad(target), bound.promptTokens, now);
+    if (!predicted)
+        return true;
+    bool hasSlot = bound.maxLoad >= 1
+        || target.localInFlight + target.remoteInFlight + 1 <= bound.maxLoad * target.serving.capacity;
+    return hasSlot && predicted->usualMs() <= bound.maxMs;
+}
+
+double Balancer::speedWeight(const Target& target, const ChoiceRequest& request, MonotonicTime now) const
+{
+    const FirstEventBound& bound = request.firstEvent;
+    auto predicted = bound.forecast ? bound.forecast->predict(headLoad(target), bound.promptTokens, now) : std::nullopt;
+    return predicted ? 1 / std::max(1.0, predicted->totalMs() * predicted->totalMs()) : 1;
+}
+
+std::optional<double> Balancer::shortestFirstEventMs(const ChoiceRequest& request, MonotonicTime now) const
+{
+    std::optional<double> shortest;
+    for (const auto& [id, target] : m_targets) {
+        bool serves = target.serving.service == request.service && target.serving.model == request.model;
+        if (!serves || !request.firstEvent.forecast)
+            continue;
+        auto predicted = request.firstEvent.forecast->predict(headLoad(target), request.firstEvent.promptTokens, now);
+        if (predicted)
+            shortest = std::min(shortest.value_or(predicted->totalMs()), predicted->totalMs());
+    }
+    return shortest;
+}
+
 std::string Balancer::choose(const ChoiceRequest& request, MonotonicTime now, Random& random)
 {
     std::vector<const Target*> usable;
     for (const auto& [id, target] : m_targets) {
-        if (!isUsable(target, request, now))
+        if (!isUsable(target, request, now) || !isInTime(target, request, now))
             continue;
         if (m_limits.admits(id, now))
             usable.push_back(&target);
@@ -108,19 +157,20 @@
     }
     if (usable.empty())
         return {};
-    const Target& chosen = sample(usable, random);
+    const Target& chosen = sample(usable, request, now, random);
     std::erase_if(usable, [&](const Target* target) {
         return std::ranges::find(request.preferredHosts, target->serving.hostId) == request.preferredHosts.end();
     });
     if (usable.empty())
         return chosen.serving.hostId;
-    const Target& preferred = sample(std::move(usable), random);
+    const Target& preferred = sample(std::move(usable), request, now, random);
     // A target that failed is drawn seldom, and must be tried then, as only a success ends its avoidance.
     bool isOverloaded = expectedLoad(preferred) > expectedLoad(chosen) - chosen.failures + preferredExcess;
     return (isOverloaded ? chosen : preferred).serving.hostId;
 }
 
-const Balancer::Target& Balancer::sample(std::vector<const Target*> targets, Random& random) const
+const Balancer::Target& Balancer::sample(
+    std::vector<const Target*> targets, const ChoiceRequest& request, MonotonicTime now, Random& random) const
 {
     for (size_t i = 0; i < std::min(sampledTargets, targets.size()); ++i)
         std::swap(targets[i], targets[i + random() % (targets.size() - i)]);
@@ -129,8 +179,8 @@
     double total = 0;
     for (const Target* target : targets) {
         double free = std::max(minFreeShare, 1 + 1.0 / target->serving.capacity - expectedLoad(*target));
-        weights.push_back(free * free);
-        total += free * free;
+        weights.push_back(free * free * speedWeight(*target, request, now));
+        total += weights.back();
     }
     double draw = std::uniform_real_distribution<double>(0, total)(random);
     for (size_t i = 0; i + 1 < targets.size(); ++i) {
@@ -181,6 +231,34 @@
     target.heardAt = now;
 }
 
+void Balancer::streamProgressed(std::string_view hostId, MonotonicTime now)
+{
+    auto found = m_targets.find(hostId);
+    if (found != m_targets.end())
+        found->second.progressedAt = now;
+}
+
+std::vector<std::string> Balancer::suspectedTargets(MonotonicTime now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, target] : m_targets) {
+        if (target.avoidUntil > now)
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::map<std::string, MonotonicTime, std::less<>> Balancer::progressSince(MonotonicTime since) const
+{
+    std::map<std::string, MonotonicTime, std::less<>> result;
+    for (const auto& [id, target] : m_targets) {
+        bool isStreaming = target.progressedAt != MonotonicTime {} && !target.serving.model.empty();
+        if (isStreaming && target.progressedAt >= since)
+            result.emplace(id, target.progressedAt);
+    }
+    return result;
+}
+
 bool Balancer::hasHeardFrom(std::string_view hostId, MonotonicTime since) const
 {
     auto found = m_targets.find(hostId);
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,7 +4,10 @@
 #include "base/random.h"
 #include "fleet/answertimes.h"
 #include "fleet/balancer.h"
+#include "fleet/evacuations.h"
+#include "fleet/firsteventforecast.h"
 #include "fleet/hosttable.h"
+#include "fleet/loadaggregator.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
 #include "fleet/retryallowance.h"
@@ -12,6 +15,7 @@
 #include "fleet/routetable.h"
 #include "fleet/serverreach.h"
 #include "fleet/stopplan.h"
+#include "fleet/teamshares.h"
 #include "gateway/activecall.h"
 #include "gateway/connectionpool.h"
 #include "gateway/eventlog.h"
@@ -58,6 +62,7 @@
         , incarnation(random() >> 12) // Small enough for a JSON number in every parser.
         , suspicion(incarnation, { .harmlessDuration = harmlessDuration, .namesAreUnique = true })
     {
+        hosts.setHeartbeat(settings.heartbeat);
     }
 
     asio::io_context& io;
@@ -67,6 +72,7 @@
     std::shared_ptr<const RouteTable> routes; // nullptr until a configuration is received.
     std::string configText; // As stored; served to nodes that lack it.
     HostTable hosts;
+    Evacuations evacuations; // Zones whose backend servers get nothing new.
     ConnectionPool pool;
     Balancer balancer;
     RetryAllowance retries;
@@ -80,6 +86,8 @@
     std::set<std::shared_ptr<ActiveCall>> calls;
     std::map<std::string, ModelDemand, std::less<>> demand; // By model.
     AnswerTimes answerTimes;
+    FirstEventForecast forecast;
+    std::map<std::string, TeamShares, std::less<>> teamShares; // By model.
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
     std::optional<StopPlan> stopPlan; // Set once the node was told to stop.
@@ -90,6 +98,7 @@
     // exist.
     bool isConfigCurrent = false;
     std::map<Address, MonotonicTime> hostAddresses; // Includes hosts that were listed recently.
+    std::set<std::string, std::less<>> unreadableProgressSenders; // Already logged.
     ServerReach reach; // Whether this node itself is cut off from backend servers.
     // Addresses for callers of other nodes that reach the service.
     std::function<std::vector<std::string>(std::string_view service)> nodesReaching;
@@ -100,6 +109,14 @@
         const char* zoneLabel = zone == settings.zone ? "own" : "other";
         metrics.count(fmt::format("peer_bytes_total{{kind=\"{}\",zone=\"{}\"}}", kind, zoneLabel), bytes);
     }
+    // Since a running stream of each host last went on at this node.
+    AgesByHost ownProgressAges() const
+    {
+        AgesByHost ages;
+        for (const auto& [host, at] : balancer.progressSince(now() - maxProgressAge))
+            ages.emplace(host, std::chrono::floor<Milliseconds>(now() - at));
+        return ages;
+    }
     bool isHostAddress(const Address& address) const { return hostAddresses.contains(address); }
 
     bool isStopping() const { return stopPlan.has_value(); }
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -1,5 +1,8 @@
 #include "gateway/nodecodec.h"
 
+#include "gateway/evacuationcodec.h"
+#include "gateway/progressfield.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -219,6 +222,9 @@
         message.anyCallSeen = document.value("calls", false);
         message.inFlight = document.value("in_flight", decltype(message.inFlight)());
         message.unmetDemand = document.value("unmet", decltype(message.unmetDemand)());
+        auto progress = decodeProgress(document);
+        message.isProgressReadable = progress.has_value();
+        message.progressAges = std::move(progress).value_or(AgesByHost {});
         message.sent = decodePosition(document.at("sent"));
         message.received = decodePosition(document.at("received"));
         message.unreachable = document.value("unreachable", std::vector<std::string>());
@@ -232,6 +238,13 @@
                 Milliseconds(echo.at(2).get<int64_t>()) };
         }
         decodeAll(document, "limits", message.limits, decodeLimit);
+        if (document.contains("evacuations")) {
+            try {
+                message.evacuations = decodeEvacuations(document["evacuations"]);
+            } catch (const json::exception&) {
+                message.evacuations.reset(); // The rest is of use without them.
+            }
+        }
         decodeAll(document, "facts", message.facts, decodeFact);
         decodeAll(document, "suspicions", message.suspicions, decodeSuspicion);
         decodeAll(document, "shared_suspicions", message.suspicions, decodeSharedSuspicion);
@@ -265,6 +278,7 @@
         document["in_flight"] = message.inFlight;
     if (!message.unmetDemand.empty())
         document["unmet"] = message.unmetDemand;
+    encodeProgress(document, message.progressAges);
     if (!message.unreachable.empty())
         document["unreachable"] = message.unreachable;
     if (message.bucketHashes)
@@ -273,6 +287,8 @@
         document["echo"]
             = json::array({ message.echo->incarnation, message.echo->at.count(), message.echo->heldFor.count() });
     encodeAll(document, "limits", message.limits, encodeLimit);
+    if (message.evacuations)
+        document["evacuations"] = encodeEvacuations(*message.evacuations);
     encodeAll(document, "facts", message.facts, encodeFact);
     for (const SuspicionCount& count : message.suspicions) {
         // Nodes of earlier versions ignore the second list.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/asio.h"
 #include "gateway/nodecodec.h"
+#include "gateway/progressfield.h"
 #include "gateway/relay.h"
 #include "gateway/task.h"
 
@@ -40,7 +41,7 @@
     : m_context(context)
     , m_handlers(std::move(handlers))
     , m_exchange(ownState(), seedsOf(context.settings))
-    , m_reads(context, *this, m_handlers.applyConfig)
+    , m_reads(context, *this, m_handlers.applyConfig, m_handlers.applyEvacuations)
 {
 }
 
@@ -89,12 +90,14 @@
 void Peers::addOwnLoads(NodeMessage& message) const
 {
     message.limits = m_context.balancer.limits().recentLimits(m_context.now());
+    message.evacuations = m_context.evacuations.report(m_context.now());
     // In a larger fleet the load exchange carries them.
     if (!isFullMesh())
         return;
     message.inFlight = m_context.balancer.inFlight();
     for (const auto& [model, demand] : m_context.demand)
         message.unmetDemand[model] = demand.unmetDemand;
+    message.progressAges = m_context.ownProgressAges();
 }
 
 asio::awaitable<void> Peers::exchangeWith(std::string address)
@@ -146,7 +149,13 @@
 {
     const NodeState& sender = message.sender;
     if (!message.inFlight.empty() || !message.unmetDemand.empty() || m_peerLoads.contains(sender.address))
-        m_peerLoads.insert_or_assign(sender.address, PeerLoad { message.inFlight, message.unmetDemand });
+        m_peerLoads.insert_or_assign(
+            sender.address, PeerLoad { message.inFlight, message.unmetDemand, message.progressAges, m_context.now() });
+    if (!message.isProgressReadable)
+        logUnreadableProgress(m_context, sender.name);
+    // Before any configuration of that node: a node that has just started sends nothing before it has one.
+    if (message.evacuations)
+        m_handlers.applyEvacuations(*message.evacuations, sender.name);
     m_reads.recordPeerVersion(sender.address, sender.zone, message.configVersion);
     m_handlers.applyReceived(received, sender.name);
 }
@@ -272,6 +281,14 @@
     return total;
 }
 
+AgesByHost Peers::progressOfOthers() const
+{
+    AgesByHost total;
+    for (const auto& [address, load] : m_peerLoads)
+        addProgress(total, load.progressAges, m_context.now() - load.receivedAt);
+    return total;
+}
+
 std::vector<std::string> Peers::nodesReaching(std::string_view service) const
 {
     std::vector<std::string> result;
--- a/tests/fleet/balancer_test.cpp
+++ b/tests/fleet/balancer_test.cpp
@@ -183,7 +183,7 @@
     m_balancer.setTargets({ headOf("a", "large", 20), headOf("b", "large", 20), headOf("c", "large", 20) });
     std::vector<std::string> preferred { "b", "gone" };
     auto chooseWithPreference = [&](std::vector<std::string> excluded = {}) {
-        return m_balancer.choose({ "writers", "large", excluded, 0, preferred }, start, m_random);
+        return m_balancer.choose({ "writers", "large", excluded, 0, {}, preferred }, start, m_random);
     };
     for (int i = 0; i < 2; ++i) {
         EXPECT_EQ(chooseWithPreference(), "b");
