--- a/tests/fleet/cutworld.h
+++ b/tests/fleet/cutworld.h
@@ -90,8 +90,8 @@
     {
         std::vector<std::string> result;
         for (const auto& [key, members] : m_members) {
-            bool isTakenApart = std::ranges::any_of(orders, [&key](const HostOrder& order) {
-                return order.epoch == key.second && (order.kind == OrderKind::Leave || order.kind == OrderKind::Close);
+            bool isTakenApart = std::ranges::any_of(orders, [epoch = key.second](const HostOrder& order) {
+                return order.epoch == epoch && (order.kind == OrderKind::Leave || order.kind == OrderKind::Close);
             });
             if (isTakenApart && isWhole(key))
                 result.push_back(key.first);
--- a/tests/fleet/domainplan_test.cpp
+++ b/tests/fleet/domainplan_test.cpp
@@ -92,8 +92,8 @@
                 return value;
             value += valueOfNextReplica(input, *best, added[best->name]++);
             uint32_t taken = 0;
-            std::ranges::stable_partition(
-                hosts, [&](const Host* host) { return host->status.lastModel == best->name; });
+            std::stable_partition(
+                hosts.begin(), hosts.end(), [&](const Host* host) { return host->status.lastModel == best->name; });
             std::erase_if(hosts, [&](const Host* host) {
                 return host->status.hasLocalCopy(best->name) && taken < best->hostsPerReplica && ++taken > 0;
             });
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -34,7 +34,7 @@
             ASSERT_TRUE(eventually([&] { return runs(zone) > 0 || !serves(m_nodes.front(), 4); }));
         }
 
-        TestNode& start(const std::string& name, std::optional<Address> store = {})
+        TestNode& start(const std::string& name, const std::optional<Address>& store = {})
         {
             std::string seeds = m_nodes.empty() ? std::string() : m_nodes.front().peers().toString();
             return m_nodes.emplace_back(name, store.value_or(m_store.address()), seeds);
@@ -117,8 +117,10 @@
 TEST_F(EvacuationTest, WhatRunsInTheZoneFinishes)
 {
     ASSERT_TRUE(eventually([&] { return serves(m_nodes.front(), 4); }));
+    constexpr size_t streamCount = 6;
     std::vector<std::future<std::string>> streams;
-    for (int i = 0; i < 6; ++i) {
+    streams.reserve(streamCount);
+    for (size_t i = 0; i < streamCount; ++i) {
         streams.push_back(std::async(std::launch::async, [this] {
             auto answer = call(m_nodes.front(), "/story/x", std::string(FakeHost::pausePrefix) + "150");
             return answer && answer->status == 200 ? answer->body : std::string("no answer");
