Refuse late calls only while so many are late that others would be, too

Cause: a call for which no head was predicted in time was refused whenever heads were not empty, although serving it late delays others only where such calls are many. LateShare follows the share of recent calls for which no head was in time; up to a quarter, they are served late within what the caller waits for, and beyond that refused as before.

--- a/src/fleet/callgate.cpp
+++ b/src/fleet/callgate.cpp
@@ -58,6 +58,9 @@
     // Nothing shows whether the prediction is right, and only a call can.
     if (inputs.fastestMs <= 0)
         steps.push_back({ std::numeric_limits<double>::infinity(), spareLoad, false });
+    // Few calls are late, so that serving this one late delays few others.
+    if (!inputs.isOverloaded)
+        steps.push_back({ latestMs, 1, false });
     return steps;
 }
 
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -216,14 +216,17 @@
     bool isModelKnown = service && service->model(m_call.model);
     bool isShared = m_team && isModelKnown && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
     TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
+    LateShare* late = isModelKnown ? &m_context.lateShares[m_call.model] : nullptr;
     std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
-        shares && shares->isOverShare(m_team->name, now), m_isCallerRetry,
+        shares && shares->isOverShare(m_team->name, now), m_isCallerRetry, late && late->isOverloaded(now),
         m_context.forecast.fastestMs(m_service, m_call.model, now) });
     m_isRefusedByForecast = false;
     if (steps.empty())
         return m_context.balancer.choose(request, now, m_context.random);
     if (m_sends > 0)
         shares = nullptr; // Counted already.
+    if (m_sends > 0 || m_isCallerRetry)
+        late = nullptr;
     if (shares)
         shares->recordAsked(m_team->name, now);
     for (const GateStep& step : steps) {
@@ -233,8 +236,12 @@
             continue;
         if (shares)
             shares->recordAdmitted(m_team->name, now);
+        if (late)
+            late->record(step.isInTime, now);
         return hostId;
     }
+    if (late)
+        late->record(false, now);
     request.firstEvent = {};
     m_isRefusedByForecast = !m_context.balancer.choose(request, now, m_context.random).empty();
     return {};
--- a/tests/fleet/callgate_test.cpp
+++ b/tests/fleet/callgate_test.cpp
@@ -11,6 +11,7 @@
         return { .target = Milliseconds(250),
             .targetGap = Milliseconds(200),
             .timeLeft = Milliseconds(6000),
+            .isOverloaded = true,
             .fastestMs = 150 };
     }
 
@@ -113,4 +114,15 @@
     EXPECT_EQ(gateRetryAfter(9000, Milliseconds(250), Milliseconds(600), 0.5), Milliseconds(200));
 }
 
+// Guards against refusals on a day on which only some calls are late.
+TEST(CallGate, ServesLateCallsWhileFewAreLate)
+{
+    GateInputs call = usualCall();
+    call.isOverloaded = false;
+    GateStep last = gateSteps(call).back();
+    EXPECT_FALSE(last.isInTime);
+    EXPECT_DOUBLE_EQ(last.maxLoad, 1);
+    EXPECT_DOUBLE_EQ(last.maxFirstEventMs, 1500) << "three quarters of what the caller waits for";
+}
+
 } // namespace Kumquatpick
--- a/tests/fleet/headsimulation.h
+++ b/tests/fleet/headsimulation.h
@@ -3,6 +3,7 @@
 #include "fleet/balancer.h"
 #include "fleet/callgate.h"
 #include "fleet/firsteventforecast.h"
+#include "fleet/lateshare.h"
 #include "fleet/teamshares.h"
 
 #include <algorithm>
@@ -124,6 +125,7 @@
         Balancer balancer { "zone" };
         FirstEventForecast forecast;
         TeamShares shares;
+        LateShare late;
         bool isCut = false;
     };
     struct Event {
@@ -213,15 +215,20 @@
         std::string team = "team" + std::to_string(call.team);
         node.shares.recordAsked(team, m_now);
         bool isOverShare = m_load.usesShares && node.shares.isOverShare(team, m_now);
-        for (const GateStep& step : gateSteps({ m_load.target, Milliseconds(200), Milliseconds(0), timeLeft,
-                 isOverShare, call.isRetry, node.forecast.fastestMs("writers", "small", m_now) })) {
+        for (const GateStep& step :
+            gateSteps({ m_load.target, Milliseconds(200), Milliseconds(0), timeLeft, isOverShare, call.isRetry,
+                node.late.isOverloaded(m_now), node.forecast.fastestMs("writers", "small", m_now) })) {
             request.firstEvent = { &node.forecast, call.promptTokens, step.maxFirstEventMs, step.maxLoad };
             std::string id = node.balancer.choose(request, m_now, m_random);
             if (id.empty())
                 continue;
             node.shares.recordAdmitted(team, m_now);
+            if (!call.isRetry)
+                node.late.record(step.isInTime, m_now);
             return id;
         }
+        if (!call.isRetry)
+            node.late.record(false, m_now);
         return {};
     }
 
