--- a/src/fleet/callgate.cpp
+++ b/src/fleet/callgate.cpp
@@ -58,7 +58,7 @@
     // Nothing shows whether the prediction is right, and only a call can.
     if (inputs.fastestMs <= 0)
         steps.push_back({ std::numeric_limits<double>::infinity(), spareLoad, false });
-    // Few calls are late, so that serving this one late delays few others.
+    // Serving this call late delays few others, or the route's callers can do with late answers.
     if (!inputs.isOverloaded)
         steps.push_back({ latestMs, 1, false });
     return steps;
--- a/src/fleet/callgate.h
+++ b/src/fleet/callgate.h
@@ -16,7 +16,8 @@
     Milliseconds timeLeft {}; // Until its deadline.
     bool isOverShare = false; // Its team got more than its share while others are refused.
     bool isCallerRetry = false; // Refused before, so it is late already.
-    bool isOverloaded = false; // So many calls are late that some must be refused for others to be in time.
+    bool isOverloaded
+        = false; // So many calls of an urgent route are late that some are refused for others to be in time.
     double fastestMs = 0; // Shortest times to the first event that were lately observed; 0 if unknown.
 };
 
