Serve calls that would only be late

So the gateway prefers heads that are predicted in time, serves late calls within what their callers wait for, and refuses only beyond that. The stricter gate stays as a tested part that is not used.

--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -28,9 +28,8 @@
     constexpr uint32_t retryQueueExtra = 2;
     // Another node takes at once what a stopping one refuses.
     constexpr Milliseconds otherNodeRetryAfter { 50 };
-    // Only on routes that operators rank first is a late answer worth so little that a refusal, which lets others be in
-    // time, serves callers better.
-    constexpr int mostUrgentPriority = 0;
+    // Where servers turn slow, refusing all calls that would be late leaves fewer in time and more without an answer.
+    constexpr bool refusesLateCalls = false;
     // Random range added to the retry delay.
     constexpr Milliseconds minRetryAfter { 400 };
     constexpr Milliseconds retryAfterJitter { 900 };
@@ -219,18 +218,14 @@
     bool isModelKnown = service && service->model(m_call.model);
     bool isShared = m_team && isModelKnown && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
     TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
-    bool mayRefuseLate = m_route->priority == mostUrgentPriority;
-    LateShare* late = isModelKnown ? &m_context.lateShares[m_call.model] : nullptr;
     std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
-        shares && shares->isOverShare(m_team->name, now), m_isCallerRetry,
-        mayRefuseLate && late && late->isOverloaded(now), m_context.forecast.fastestMs(m_service, m_call.model, now) });
+        shares && shares->isOverShare(m_team->name, now), m_isCallerRetry, refusesLateCalls,
+        m_context.forecast.fastestMs(m_service, m_call.model, now) });
     m_isRefusedByForecast = false;
     if (steps.empty())
         return m_context.balancer.choose(request, now, m_context.random);
     if (m_sends > 0)
         shares = nullptr; // Counted already.
-    if (m_sends > 0 || m_isCallerRetry)
-        late = nullptr;
     if (shares)
         shares->recordAsked(m_team->name, now);
     for (const GateStep& step : steps) {
@@ -240,12 +235,8 @@
             continue;
         if (shares)
             shares->recordAdmitted(m_team->name, now);
-        if (late)
-            late->record(step.isInTime, now);
         return hostId;
     }
-    if (late)
-        late->record(false, now);
     request.firstEvent = {};
     m_isRefusedByForecast = !m_context.balancer.choose(request, now, m_context.random).empty();
     return {};
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -7,7 +7,6 @@
 #include "fleet/evacuations.h"
 #include "fleet/firsteventforecast.h"
 #include "fleet/hosttable.h"
-#include "fleet/lateshare.h"
 #include "fleet/loadaggregator.h"
 #include "fleet/looppauses.h"
 #include "fleet/mechanism.h"
@@ -89,7 +88,6 @@
     AnswerTimes answerTimes;
     FirstEventForecast forecast;
     std::map<std::string, TeamShares, std::less<>> teamShares; // By model.
-    std::map<std::string, LateShare, std::less<>> lateShares; // By model.
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
     std::optional<StopPlan> stopPlan; // Set once the node was told to stop.
