Log and count each node's share of the fleet's retries

Nothing said what a node takes for its share of the limit, what it has used of it, how often it refused a retry, or that it hears no other nodes. Each second with retries now has a retry_share line per service, with the number of nodes that the fixed part is divided by, and changes of the nodes seen alive are logged. No decision changes.

What takes shares of limits of the whole fleet moves to a file of its own.

--- a/src/fleet/retryallowance.cpp
+++ b/src/fleet/retryallowance.cpp
@@ -1,6 +1,7 @@
 #include "fleet/retryallowance.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Kumquatpick {
 
@@ -38,6 +39,7 @@
 void RetryAllowance::recordFirstSend(std::string_view service, MonotonicTime now)
 {
     ++windowOf(service, now).back().firstSends;
+    ++useOf(service).firstSends;
 }
 
 double RetryAllowance::remainingRetries(std::string_view service, MonotonicTime now)
@@ -54,10 +56,33 @@
 
 bool RetryAllowance::takeRetry(std::string_view service, MonotonicTime now)
 {
-    if (remainingRetries(service, now) < 1)
+    if (remainingRetries(service, now) < 1) {
+        ++useOf(service).refused;
         return false;
+    }
     ++windowOf(service, now).back().retries;
+    ++useOf(service).retries;
     return true;
 }
 
+RetryUse& RetryAllowance::useOf(std::string_view service)
+{
+    auto found = m_uses.find(service);
+    if (found == m_uses.end())
+        found = m_uses.emplace(service, RetryUse { std::string(service) }).first;
+    return found->second;
+}
+
+std::vector<RetryUse> RetryAllowance::takeUses(MonotonicTime now)
+{
+    std::vector<RetryUse> result;
+    for (auto& [service, use] : std::exchange(m_uses, {})) {
+        if (use.retries + use.refused == 0)
+            continue;
+        use.remaining = remainingRetries(service, now);
+        result.push_back(std::move(use));
+    }
+    return result;
+}
+
 } // namespace Kumquatpick
--- a/src/fleet/retryallowance.h
+++ b/src/fleet/retryallowance.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Kumquatpick {
 
@@ -17,6 +18,15 @@
     std::chrono::seconds window { 10 };
 };
 
+// What a node used of its share since the last report, and what it may still use.
+struct RetryUse {
+    std::string service;
+    uint32_t firstSends = 0;
+    uint32_t retries = 0;
+    uint32_t refused = 0; // Retries that the share did not allow.
+    double remaining = 0; // Retries that it allows now.
+};
+
 // This node's share of the fleet's limit on retries. In a sliding window per service, each node may retry the ratio of
 // its own first sends plus an even share of the fixed allowance, so the total keeps the limit without any messages.
 class RetryAllowance {
@@ -31,6 +41,10 @@
     bool takeRetry(std::string_view service, MonotonicTime now);
     // Retries that are allowed now.
     double remainingRetries(std::string_view service, MonotonicTime now);
+    // Of services with retries, allowed or not, since the last call.
+    std::vector<RetryUse> takeUses(MonotonicTime now);
+    // Nodes among which the fixed allowance is divided.
+    uint32_t nodes() const { return m_nodes; }
 
 private:
     struct Bucket {
@@ -41,11 +55,13 @@
     using Window = std::deque<Bucket>;
 
     Window& windowOf(std::string_view service, MonotonicTime now);
+    RetryUse& useOf(std::string_view service);
 
     RetryLimits m_limits;
     MonotonicTime m_started;
     uint32_t m_nodes = 1;
     std::map<std::string, Window, std::less<>> m_services;
+    std::map<std::string, RetryUse, std::less<>> m_uses; // Since the last report, by service.
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -227,7 +227,9 @@
             m_context.log.flush();
             if (tick % ticksPerSecond == 0) {
                 refreshHostAddresses();
-                m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1));
+                reportAliveNodes();
+                divideRetries();
+                reportRetries();
                 m_context.suspicion.setLiveNodes(m_peers.liveIncarnations());
                 divideRateLimits();
                 m_context.balancer.backoffs().expire(m_context.now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,6 +59,9 @@
     NodeExchange::OwnReport ownReport() const;
     void applyReceived(const NodeExchange::Received&, std::string_view sender);
     void divideRateLimits();
+    void divideRetries();
+    void reportAliveNodes();
+    void reportRetries();
 
     void startEssential(std::string_view task, asio::awaitable<void>);
     asio::awaitable<void> runMaintenance();
@@ -107,6 +110,7 @@
     std::set<std::string, std::less<>> m_retiringHeads; // Of replicas that give way to other models.
     std::map<std::string, MonotonicTime, std::less<>> m_stalledReplicas; // By head: when the nodes were last told.
     MonotonicTime::duration m_longestPause {}; // Since the process started.
+    size_t m_loggedAliveNodes = 0; // Others that this node considers alive, as last logged.
     uint64_t m_targetsHostVersion = UINT64_MAX; // Versions from which the targets were computed.
     const RouteTable* m_targetsRoutes = nullptr;
     uint64_t m_targetsEvacuations = 0;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -55,17 +55,6 @@
     }
 }
 
-// A stopping node takes no share of the limits, because the others no longer count it.
-void Gateway::divideRateLimits()
-{
-    std::string self = m_context.isStopping() ? std::string() : m_context.settings.peers.toString();
-    m_context.balancer.limits().assignShares(m_peers.nodesInZone({}), self, m_context.now());
-    // A node that knows few others would take too many shares.
-    if (!m_peers.knowsOthers())
-        self.clear();
-    m_context.balancer.warmups().assignShares(m_peers.nodesInZone({}), self, m_context.now());
-}
-
 void Gateway::refreshPeersInFlight()
 {
     const NodeLoads* others = m_loads.others();
