Fund retries once, and divide limits of the fleet by all that may hold a share

Callers saw: nothing; servers of a service in need got more retries than the fleet may make.

Cause: each node divided the fixed part by the nodes that it considered alive at that moment, and counted retries in a window of its own. Nodes that were cut off took all of it each, the sides of a split each divided it among themselves, the rest of a fleet took the shares of lost nodes at once, and new processes and callers that moved began with a share of a window in which others had used theirs.

Change: RetryAllowance keeps funds that arise once (0.2 x 0.8 of a retry with each first send, the share of the fixed part with each second) and expire after 2 s, in place of a window. FleetMembers says among whom a limit is divided: lost nodes count for 30 s, a node that hears nobody keeps all, a new process has no share of the fixed part until somebody who knows tells it, and after the fleet's first start (--first-start) all know. Limits that servers announce and those of cold servers are divided among the same members; a node alone took the whole of the former.

--- a/src/fleet/nodeexchange.h
+++ b/src/fleet/nodeexchange.h
@@ -43,6 +43,7 @@
         uint64_t controllerTerm = 0;
         bool anyCallSeen = false;
         std::vector<std::string> cutOffServices {};
+        uint32_t fleetNodes = 0; // See FleetMembers::count(); 0 while it is unknown.
     };
     void setOwnReport(const OwnReport&, MonotonicTime now);
 
@@ -84,6 +85,10 @@
     // Whether this node knows the others: a node that did told it, or it had the time to learn of them. Of nodes that
     // start together, each knows only a few at first, and would take duties that others perform.
     bool isSettled(MonotonicTime now) const;
+    // Whether the settings name other nodes.
+    bool expectsOthers() const { return !m_seeds.empty(); }
+    // The largest number of nodes that another one counted; 0 if none did.
+    uint32_t toldFleetNodes() const { return m_toldFleetNodes; }
     uint64_t newestTerm() const { return m_newestTerm; }
     bool anyCallSeen() const { return m_anyCallSeen; }
 
@@ -141,6 +146,7 @@
     MonotonicTime m_observedSince {}; // Silence before this time proves nothing: this node itself was paused.
     MonotonicTime m_rescueAt {}; // When a silent node is called next.
     uint64_t m_newestTerm = 0;
+    uint32_t m_toldFleetNodes = 0;
     bool m_anyCallSeen = false;
     bool m_isRelay = true;
     bool m_isInformed = false; // By a settled node.
--- a/src/fleet/nodeexchangemessages.cpp
+++ b/src/fleet/nodeexchangemessages.cpp
@@ -30,6 +30,7 @@
     message.configVersion = m_own.configVersion;
     message.controllerTerm = m_newestTerm;
     message.anyCallSeen = m_anyCallSeen;
+    message.fleetNodes = m_own.fleetNodes;
     message.clock = clockOf(now);
     auto partner = m_partners.find(receiver);
     if (partner != m_partners.end()) {
@@ -169,6 +170,7 @@
         m_table.merge(state, sender, now);
     m_newestTerm = std::max(m_newestTerm, message.controllerTerm);
     m_anyCallSeen = m_anyCallSeen || message.anyCallSeen;
+    m_toldFleetNodes = std::max(m_toldFleetNodes, message.fleetNodes);
     bool hasPosition = message.sent.incarnation == message.sender.incarnation;
     if (hasPosition) {
         partner.received.incarnation = message.sent.incarnation;
--- a/src/fleet/nodemessage.h
+++ b/src/fleet/nodemessage.h
@@ -41,6 +41,7 @@
     uint64_t configVersion = 0;
     uint64_t controllerTerm = 0; // Newest term that the sender knows; see ControllerLease.
     bool anyCallSeen = false; // Any node has seen a call.
+    uint32_t fleetNodes = 0; // Among which the sender divides limits, with those lost lately; 0 if it does not know.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host; only in a full mesh.
     std::map<std::string, double, std::less<>> unmetDemand; // Slots, by model; only in a full mesh.
     std::map<std::string, Milliseconds, std::less<>> progressAges; // See NodeLoads; only in a full mesh.
--- a/src/fleet/retryallowance.cpp
+++ b/src/fleet/retryallowance.cpp
@@ -7,79 +7,109 @@
 
 namespace {
 
-    constexpr Milliseconds bucketLength { 500 };
-    // Nodes detect joins and departures with a delay, and a restarted node begins a new window. The reserve covers one
-    // such node in six.
+    constexpr Milliseconds fundLength { 250 };
+    // With the funds of a lifetime that a window begins with, 0.96 of the limit. The rest is for the rounding of
+    // fractions, and for sends that take longer than others.
     constexpr double usableShare = 0.8;
 
 }
 
-RetryAllowance::RetryAllowance(RetryLimits limits, MonotonicTime started)
+RetryAllowance::RetryAllowance(RetryLimits limits, double roundingPhase)
     : m_limits(limits)
-    , m_started(started)
+    , m_roundingPhase(roundingPhase)
 {
 }
 
-void RetryAllowance::setNodes(uint32_t liveNodes) { m_nodes = std::max(1u, liveNodes); }
+// Each share holds until it changes, so services get what is due before.
+void RetryAllowance::setNodes(std::optional<uint32_t> nodes, MonotonicTime now)
+{
+    if (nodes == m_nodes)
+        return;
+    for (auto& [name, service] : m_services)
+        addShare(service, now);
+    m_nodes = nodes;
+    m_nodesSetAt = now;
+}
 
-RetryAllowance::Window& RetryAllowance::windowOf(std::string_view service, MonotonicTime now)
+RetryAllowance::Service& RetryAllowance::serviceAt(std::string_view name, MonotonicTime now)
 {
-    auto found = m_services.find(service);
+    auto found = m_services.find(name);
     if (found == m_services.end())
-        found = m_services.emplace(service, Window {}).first;
-    Window& window = found->second;
-    // The last retry of a bucket may be up to bucketLength later than the bucket's begin.
-    while (!window.empty() && now - window.front().begin > m_limits.window + bucketLength)
-        window.pop_front();
-    if (window.empty() || now - window.back().begin >= bucketLength)
-        window.push_back({ now });
-    return window;
+        found = m_services.emplace(name, Service { {}, m_nodesSetAt, m_roundingPhase, { std::string(name) } }).first;
+    Service& service = found->second;
+    addShare(service, now);
+    std::erase_if(service.funds, [&](const Fund& fund) { return now - fund.begin > fundLifetime; });
+    return service;
 }
 
-void RetryAllowance::recordFirstSend(std::string_view service, MonotonicTime now)
+void RetryAllowance::add(Service& service, double retries, MonotonicTime at)
 {
-    ++windowOf(service, now).back().firstSends;
-    ++useOf(service).firstSends;
+    if (service.funds.empty() || at - service.funds.back().begin >= fundLength)
+        service.funds.push_back({ at });
+    service.funds.back().retries += retries;
 }
 
-double RetryAllowance::remainingRetries(std::string_view service, MonotonicTime now)
+void RetryAllowance::addShare(Service& service, MonotonicTime now)
 {
-    double firstSends = 0;
-    double retries = 0;
-    for (const Bucket& bucket : windowOf(service, now)) {
-        firstSends += bucket.firstSends;
-        retries += bucket.retries;
+    double perSecond = m_nodes ? usableShare * m_limits.allowance / toSeconds(m_limits.window) / *m_nodes : 0;
+    service.fundedUntil = std::max(service.fundedUntil, now - fundLifetime);
+    while (service.fundedUntil < now) {
+        MonotonicTime from = service.fundedUntil;
+        service.fundedUntil = std::min<MonotonicTime>(now, from + fundLength);
+        add(service, perSecond * toSeconds(service.fundedUntil - from), from);
     }
-    double rampUp = std::min(1.0, toSeconds(now - m_started) / toSeconds(m_limits.window));
-    return usableShare * (m_limits.ratio * firstSends + rampUp * m_limits.allowance / m_nodes) - retries;
 }
 
-bool RetryAllowance::takeRetry(std::string_view service, MonotonicTime now)
+void RetryAllowance::recordFirstSend(std::string_view name, MonotonicTime now)
+{
+    Service& service = serviceAt(name, now);
+    add(service, usableShare * m_limits.ratio, now);
+    ++service.use.firstSends;
+}
+
+double RetryAllowance::remaining(const Service& service)
+{
+    double sum = 0;
+    for (const Fund& fund : service.funds)
+        sum += fund.retries;
+    return sum;
+}
+
+// Spends funds of one retry, the oldest first. Where there are less, spends them all: one such spending in so many is a
+// retry that they add up to one.
+bool RetryAllowance::take(Service& service)
 {
-    if (remainingRetries(service, now) < 1) {
-        ++useOf(service).refused;
-        return false;
+    double left = std::min(1.0, remaining(service));
+    if (left < 1)
+        service.rounding += left;
+    bool isAllowed = left >= 1 || service.rounding >= 1;
+    if (left < 1 && isAllowed)
+        service.rounding -= 1;
+    for (Fund& fund : service.funds) {
+        double spent = std::min(left, fund.retries);
+        fund.retries -= spent;
+        left -= spent;
     }
-    ++windowOf(service, now).back().retries;
-    ++useOf(service).retries;
-    return true;
+    return isAllowed;
 }
 
-RetryUse& RetryAllowance::useOf(std::string_view service)
+bool RetryAllowance::takeRetry(std::string_view name, MonotonicTime now)
 {
-    auto found = m_uses.find(service);
-    if (found == m_uses.end())
-        found = m_uses.emplace(service, RetryUse { std::string(service) }).first;
-    return found->second;
+    Service& service = serviceAt(name, now);
+    bool isAllowed = take(service);
+    ++(isAllowed ? service.use.retries : service.use.refused);
+    return isAllowed;
 }
 
 std::vector<RetryUse> RetryAllowance::takeUses(MonotonicTime now)
 {
     std::vector<RetryUse> result;
-    for (auto& [service, use] : std::exchange(m_uses, {})) {
+    for (auto& [name, service] : m_services) {
+        RetryUse use = std::exchange(service.use, { name });
         if (use.retries + use.refused == 0)
             continue;
-        use.remaining = remainingRetries(service, now);
+        addShare(service, now);
+        use.remaining = remaining(service);
         result.push_back(std::move(use));
     }
     return result;
--- a/src/fleet/retryallowance.h
+++ b/src/fleet/retryallowance.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,41 +28,53 @@
     double remaining = 0; // Retries that it allows now.
 };
 
-// This node's share of the fleet's limit on retries. In a sliding window per service, each node may retry the ratio of
-// its own first sends plus an even share of the fixed allowance, so the total keeps the limit without any messages.
+// This node's share of the fleet's limit on retries. Each first send funds a fraction of a retry, and so does each
+// second, by an even share of the fixed allowance. Funds expire soon.
+//
+// So the total keeps the limit without any messages, whatever becomes of nodes: funds arise once, at one node, and what
+// a node has not used ends with its process. In a sliding window per node, callers that move to other nodes, and
+// processes that start, would be given again what others have used in the same window.
 class RetryAllowance {
 public:
-    // started: when this process started. Retries of the previous process still count in the fleet's windows, so the
-    // fixed allowance ramps up from 0 over the first window.
-    RetryAllowance(RetryLimits, MonotonicTime started);
+    // Unused funds expire after this time. A window may begin with as many.
+    static constexpr Milliseconds fundLifetime { 2000 };
 
-    void setNodes(uint32_t liveNodes);
+    // roundingPhase: uniform in [0, 1), so that nodes with little funds do not all round at the same time.
+    RetryAllowance(RetryLimits, double roundingPhase);
+
+    // The nodes among which the fixed allowance is divided; nullopt while they are unknown, so that there is no share.
+    void setNodes(std::optional<uint32_t> nodes, MonotonicTime now);
     void recordFirstSend(std::string_view service, MonotonicTime now);
     // Counts a retry and returns true if the limit allows it.
     bool takeRetry(std::string_view service, MonotonicTime now);
-    // Retries that are allowed now.
-    double remainingRetries(std::string_view service, MonotonicTime now);
     // Of services with retries, allowed or not, since the last call.
     std::vector<RetryUse> takeUses(MonotonicTime now);
-    // Nodes among which the fixed allowance is divided.
-    uint32_t nodes() const { return m_nodes; }
+    // 0 while they are unknown.
+    uint32_t nodes() const { return m_nodes.value_or(0); }
 
 private:
-    struct Bucket {
+    struct Fund {
         MonotonicTime begin;
-        uint32_t firstSends = 0;
-        uint32_t retries = 0;
+        double retries = 0;
+    };
+    struct Service {
+        std::deque<Fund> funds; // Oldest first.
+        MonotonicTime fundedUntil; // By the fixed allowance.
+        double rounding = 0; // Fractions of a retry that were spent without one.
+        RetryUse use; // Since the last report.
     };
-    using Window = std::deque<Bucket>;
 
-    Window& windowOf(std::string_view service, MonotonicTime now);
-    RetryUse& useOf(std::string_view service);
+    Service& serviceAt(std::string_view name, MonotonicTime now);
+    void addShare(Service&, MonotonicTime now);
+    static void add(Service&, double retries, MonotonicTime at);
+    static double remaining(const Service&);
+    static bool take(Service&);
 
     RetryLimits m_limits;
-    MonotonicTime m_started;
-    uint32_t m_nodes = 1;
-    std::map<std::string, Window, std::less<>> m_services;
-    std::map<std::string, RetryUse, std::less<>> m_uses; // Since the last report, by service.
+    double m_roundingPhase;
+    std::optional<uint32_t> m_nodes;
+    MonotonicTime m_nodesSetAt {}; // When their number changed.
+    std::map<std::string, Service, std::less<>> m_services;
 };
 
 } // namespace Kumquatpick
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -251,13 +251,17 @@
     std::string other = isThroughNode ? std::string() : chooseHost(now, excluded, true);
     bool mayResume = !m_headForwarded || !m_context.disabledMechanisms.contains(Mechanism::Resume);
     bool isSuspect = m_context.suspicion.verdict(m_suspects, now) != SuspicionVerdict::Clear;
-    ServerLeave verdict
-        = mayLeaveServer({ mayRepeat() && mayResume, isSuspect, m_possibleRuns + 1, m_route->maxAttempts, m_sends,
-            maxSends, m_context.retries.remainingRetries(m_service, now) >= 1, isThroughNode || !other.empty() });
+    ServerLeaveInputs inputs { mayRepeat() && mayResume, isSuspect, m_possibleRuns + 1, m_route->maxAttempts, m_sends,
+        maxSends, true, isThroughNode || !other.empty() };
+    ServerLeave verdict = mayLeaveServer(inputs);
+    // Only a call that leaves for sure takes a retry.
+    if (verdict == ServerLeave::Allowed) {
+        inputs.isRetryLeft = m_context.retries.takeRetry(m_service, now);
+        verdict = mayLeaveServer(inputs);
+    }
     m_context.metrics.count(fmt::format("server_leaves_total{{verdict=\"{}\"}}", name(verdict)));
     if (verdict != ServerLeave::Allowed)
         return false;
-    m_context.retries.takeRetry(m_service, now);
     m_hasLeftServer = true;
     if (isThroughNode)
         return true;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -6,6 +6,7 @@
 #include "fleet/balancer.h"
 #include "fleet/evacuations.h"
 #include "fleet/firsteventforecast.h"
+#include "fleet/fleetmembers.h"
 #include "fleet/hosttable.h"
 #include "fleet/loadaggregator.h"
 #include "fleet/looppauses.h"
@@ -56,9 +57,10 @@
         , disabledMechanisms(DisabledMechanisms::parse(s.disabledMechanisms).value_or(DisabledMechanisms()))
         , pool(ioContext.get_executor())
         , balancer(s.zone, s.warmupBound())
-        , retries(s.retryLimits(), monotonicNow())
-        , log(s.logDescriptor, s.name)
         , random(seededFromSystem())
+        , retries(s.retryLimits(), drawUniform())
+        , members(monotonicNow(), s.isFirstStart())
+        , log(s.logDescriptor, s.name)
         , incarnation(random() >> 12) // Small enough for a JSON number in every parser.
         , suspicion(incarnation, { .harmlessDuration = harmlessDuration, .namesAreUnique = true })
     {
@@ -75,12 +77,13 @@
     Evacuations evacuations; // Zones whose backend servers get nothing new.
     ConnectionPool pool;
     Balancer balancer;
+    Random random;
     RetryAllowance retries;
+    FleetMembers members;
     Metrics metrics;
     LoopPauses pauses;
     LoopTime loopTime;
     EventLog log;
-    Random random;
     uint64_t incarnation; // Identifies this run of the process.
     SuspicionState suspicion; // Requests that end the servers which run them; hosts by their incarnations.
     std::set<std::shared_ptr<ActiveCall>> calls;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -227,11 +227,10 @@
             m_context.log.flush();
             if (tick % ticksPerSecond == 0) {
                 refreshHostAddresses();
+                divideLimits();
                 reportAliveNodes();
-                divideRetries();
                 reportRetries();
                 m_context.suspicion.setLiveNodes(m_peers.liveIncarnations());
-                divideRateLimits();
                 m_context.balancer.backoffs().expire(m_context.now());
                 m_sessions.remove_if([](const auto& session) { return session.expired(); });
                 publishLoopMetrics();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,8 +58,7 @@
 
     NodeExchange::OwnReport ownReport() const;
     void applyReceived(const NodeExchange::Received&, std::string_view sender);
-    void divideRateLimits();
-    void divideRetries();
+    void divideLimits();
     void reportAliveNodes();
     void reportRetries();
 
--- a/src/gateway/gatewaybudgets.cpp
+++ b/src/gateway/gatewaybudgets.cpp
@@ -6,19 +6,19 @@
 
 namespace Kumquatpick {
 
-// A stopping node takes no share of the limits, because the others no longer count it.
-void Gateway::divideRateLimits()
+void Gateway::divideLimits()
 {
-    std::string self = m_context.isStopping() ? std::string() : m_context.settings.peers.toString();
-    m_context.balancer.limits().assignShares(m_peers.nodesInZone({}), self, m_context.now());
-    // A node that knows few others would take too many shares.
-    if (!m_peers.knowsOthers())
-        self.clear();
-    m_context.balancer.warmups().assignShares(m_peers.nodesInZone({}), self, m_context.now());
+    MonotonicTime now = m_context.now();
+    m_context.members.update(m_peers.exchange(), now);
+    m_context.retries.setNodes(m_context.members.count(), now);
+    // A stopping node, and one that may be cut off from all others, takes no share of a server's limit.
+    auto nodes = m_context.members.nodes();
+    bool takesShare = !nodes.empty() && !m_context.isStopping();
+    std::string self = takesShare ? m_context.settings.peers.toString() : std::string();
+    m_context.balancer.limits().assignShares(nodes, self, now);
+    m_context.balancer.warmups().assignShares(nodes, self, now);
 }
 
-void Gateway::divideRetries() { m_context.retries.setNodes(static_cast<uint32_t>(m_peers.aliveCount() + 1)); }
-
 void Gateway::reportAliveNodes()
 {
     size_t alive = m_peers.aliveCount();
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -36,7 +36,7 @@
 NodeExchange::OwnReport Gateway::ownReport() const
 {
     return { isReady(), m_context.isStopping(), m_context.routes ? m_context.routes->version() : 0, m_lease.term(),
-        m_context.anyCallSeen, m_context.reach.cutOffServices() };
+        m_context.anyCallSeen, m_context.reach.cutOffServices(), m_context.members.count().value_or(0) };
 }
 
 void Gateway::applyReceived(const NodeExchange::Received& received, std::string_view sender)
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -20,6 +20,7 @@
     constexpr uint64_t maxSequence = uint64_t(1) << 53;
     // Of servers under one request. Far above what is needed to stop it.
     constexpr uint32_t maxDeaths = 10'000;
+    constexpr uint32_t maxFleetNodes = 100'000;
 
     json encodeState(const NodeState& state)
     {
@@ -220,6 +221,7 @@
         message.configVersion = document.at("config").get<uint64_t>();
         message.controllerTerm = document.at("term").get<uint64_t>();
         message.anyCallSeen = document.value("calls", false);
+        message.fleetNodes = std::min(document.value("fleet_nodes", uint32_t(0)), maxFleetNodes);
         message.inFlight = document.value("in_flight", decltype(message.inFlight)());
         message.unmetDemand = document.value("unmet", decltype(message.unmetDemand)());
         auto progress = decodeProgress(document);
@@ -272,6 +274,8 @@
         document["settled"] = true;
     if (message.anyCallSeen)
         document["calls"] = true;
+    if (message.fleetNodes)
+        document["fleet_nodes"] = message.fleetNodes;
     if (message.hasMore)
         document["more"] = true;
     if (!message.inFlight.empty())
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -72,6 +72,7 @@
     bool selfHasLargeCpuShare() const;
     // Whether this node knows the others, so that it can tell who performs which duty.
     bool knowsOthers() const { return m_exchange.isSettled(m_context.now()); }
+    const NodeExchange& exchange() const { return m_exchange; }
 
     // Addresses for callers of some other live nodes that take requests.
     std::vector<std::string> callerAddresses();
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -3,6 +3,7 @@
 #include "fleet/mechanism.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
@@ -27,6 +28,8 @@
         return isShare ? std::optional(value) : std::nullopt;
     }
 
+    constexpr std::array<std::string_view, 2> trueOrFalse { "true", "false" };
+
     bool areAddresses(std::string_view list)
     {
         while (!list.empty()) {
@@ -71,6 +74,10 @@
                         .accepts = areAddresses,
                         .expected = "addresses such as 10.0.0.7:7101, separated by commas" },
                     { "store", &s.store, "the platform's store", true },
+                    { .flag = "first-start",
+                        .into = &s.firstStart,
+                        .help = "whether all nodes start now, and for the first time",
+                        .choices = trueOrFalse },
                 } },
             { "Limits",
                 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -24,6 +24,7 @@
     std::string seeds; // Peer addresses of some nodes, separated by commas; may be outdated.
     Address store;
 
+    std::string firstStart = "false"; // Whether all nodes start now, and for the first time.
     std::string cpuShare; // Share of one core that this node may use; decimal. See cpuShareOrDefault().
 
     Milliseconds stopGrace { 8000 }; // From SIGTERM until the process is killed.
@@ -47,6 +48,7 @@
     Milliseconds quietHostReadPause() const;
     // Data of a node that reads the list for others is used up to this age.
     Milliseconds maxHostListAge() const;
+    bool isFirstStart() const { return firstStart == "true"; }
     RetryLimits retryLimits() const;
     WarmupBound warmupBound() const;
     // The default if the setting is missing or invalid, because a node must serve callers in any case.
--- a/tests/fleet/fleetretries_test.cpp
+++ b/tests/fleet/fleetretries_test.cpp
@@ -191,6 +191,27 @@
             { 9s, NodeEvent::PowerLost, 4, 2, 30s } });
 }
 
+// Guards against processes that start behind a partition and take those that they find there for the whole fleet.
+TEST(FleetRetries, StayWithinTheLimitWhileOneSideOfASplitRestarts)
+{
+    expectWithinLimit({ { 9s, 0.6 } }, { { 4s, NodeEvent::Split, 0, 3, 24s }, { 5s, NodeEvent::Killed, 0, 3, 300ms } });
+}
+
+// Guards against a limit that is kept by not using it: a calm fleet makes the retries that its callers need.
+TEST(FleetRetries, AreAllMadeInACalmFleet)
+{
+    for (int nodes : { 1, 7, 60 }) {
+        RetrySimulation world({ .nodes = nodes, .callsPerSecond = 25.0 * nodes });
+        world.setDemand(0.12);
+        world.run(20s);
+        EXPECT_GE(world.retriesIn(15s), 0.99 * world.wantedIn(15s)) << nodes << " nodes";
+        world.setDemand(1);
+        world.run(20s);
+        double limit = 0.2 * world.callsIn(10s) + 105;
+        EXPECT_GE(world.retriesIn(10s), 0.75 * limit) << nodes << " nodes";
+    }
+}
+
 // Guards against limits that hold while nodes stay, and not in a mix of lost, stopped, frozen, added, cut off and
 // restarted nodes, on short days and with few calls.
 RC_GTEST_PROP(FleetRetries, StayWithinTheLimitInAnyMix, ())
--- a/tests/fleet/nodesimulation.h
+++ b/tests/fleet/nodesimulation.h
@@ -99,6 +99,8 @@
     int life(int index) const { return m_nodes[size(index)]->life; }
     Random& random() { return m_random; }
     NodeExchange& exchange(int index) { return m_nodes[size(index)]->exchange; }
+    // What the node reports of itself.
+    NodeExchange::OwnReport& report(int index) { return m_nodes[size(index)]->report; }
     bool isDead(int index) const { return m_nodes[size(index)]->isDead; }
     int count() const { return static_cast<int>(m_nodes.size()); }
     std::string addressOf(int index) const
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -65,6 +65,7 @@
         message.bucketHashes = NodeTable::BucketHashes { 1, 2, 3 };
         message.unreachable = { "10.0.0.4:81" };
         message.hasMore = true;
+        message.fleetNodes = 9;
         message.clock = Milliseconds(123'456);
         message.echo = ClockEcho { 78, Milliseconds(99), Milliseconds(250) };
         return message;
@@ -91,6 +92,7 @@
     EXPECT_EQ(read->facts.at(0).content, message.facts[0].content);
     EXPECT_EQ(read->limits.at(1).perSecond, std::nullopt);
     EXPECT_EQ(read->received, message.received);
+    EXPECT_EQ(read->fleetNodes, 9u);
     ASSERT_TRUE(read->evacuations);
     EXPECT_EQ(read->evacuations->asOf, 12u);
     EXPECT_EQ(read->evacuations->zones.at(0).zone, "zone-a");
