Count a retry that goes through another node

A call that had reached a server and then went on through another node, as its own had lost the servers, took no retry here, and counted there as a first send: it added to that node's budget. Now it takes one here, and the other node is told that it is a retry and neither counts nor funds it.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -31,6 +31,7 @@
     // Passed on by a node that is cut off from the backend servers, which must not be done twice.
     bool isRelayed = false;
     uint32_t earlierRuns = 0; // That a relayed call may have had already.
+    bool isRetry = false; // A relayed call that was sent to a server before. The relaying node took the retry.
     // Further headers that are forwarded unmodified.
     std::vector<std::pair<std::string, std::string>> forwardedHeaders;
 };
@@ -43,6 +44,7 @@
     Milliseconds timeLeft {}; // Remaining time until the deadline.
     int priority = 0; // 0 is the highest priority.
     uint32_t earlierRuns = 0; // That the call may have had.
+    bool isRetry = false; // The call was sent to a server before.
 };
 
 // The head of a response, before it is validated.
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -309,7 +309,7 @@
     if (isHeldAsSuspect())
         co_return false;
     if (chooseNode())
-        co_return true;
+        co_return mayRetry(m_context.now());
     MonotonicTime until = hostWaitDeadline();
     bool hasStarted = m_headForwarded || m_possibleRuns > 0;
     while (m_active->cancelReason == CancelReason::None) {
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -129,6 +129,7 @@
     // A send was given up for another server, so the call waits for one until its deadline.
     bool m_hasLeftServer = false;
     bool m_needsRetry = false; // The next send counts as a retry.
+    bool m_isServerReached = false; // A send got a connection to a server.
     uint32_t m_sends = 0;
     uint32_t m_possibleRuns = 0; // Sends that may have run the call.
     std::string m_node; // Address of the node for the current send; empty if it goes to a server directly.
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -96,6 +96,7 @@
     send.lastEventId = m_eventStream.lastId();
     send.timeLeft = timeLeft();
     send.earlierRuns = m_possibleRuns;
+    send.isRetry = m_isServerReached;
     HttpRequest request = m_context.platform.relay(m_call, send);
     connection.stream.expires_never();
     auto [writeError, written] = co_await http::async_write(connection.stream, request, asTuple);
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -136,7 +136,7 @@
 {
     MonotonicTime begun = m_context.now();
     m_sentAt = begun;
-    if (m_sends++ == 0)
+    if (m_sends++ == 0 && !m_call.isRetry)
         m_context.retries.recordFirstSend(m_service, begun);
     std::string hostId = m_hostId;
     const Host* host = m_context.hosts.find(hostId);
@@ -165,6 +165,7 @@
         m_sendEnd = SendResult::Unreachable;
         m_context.reach.connectFailed(m_service, hostId);
     } else {
+        m_isServerReached = true;
         auto connection = std::move(std::get<0>(acquired));
         connection->service = m_service;
         connection->hostId = hostId;
--- a/src/gateway/platform.h
+++ b/src/gateway/platform.h
@@ -85,8 +85,8 @@
     // Callers' requests.
     virtual Settled<Call> call(const RequestHead&) const = 0;
     virtual HttpRequest forward(const Call&, const SendParameters&) const = 0;
-    // The call as its caller sent it, for another node. Of the parameters, only timeLeft, lastEventId and earlierRuns
-    // are used.
+    // The call as its caller sent it, for another node. Of the parameters, only timeLeft, lastEventId, earlierRuns and
+    // isRetry are used.
     virtual HttpRequest relay(const Call&, const SendParameters&) const = 0;
     virtual ReplyHead reply(const ResponseHead&) const = 0;
     // Removes headers that are only meant for the gateway.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -340,6 +340,7 @@
     send.timeLeft = Milliseconds(700);
     send.lastEventId = "4";
     send.earlierRuns = 1;
+    send.isRetry = true;
     HttpRequest relayed = codec.relay(std::get<Call>(codec.call(head)), send);
     EXPECT_EQ(relayed["Host"], "a.example");
     EXPECT_EQ(relayed["Key"], "secret");
@@ -349,6 +350,8 @@
     Call received = std::get<Call>(codec.call(relayed));
     EXPECT_TRUE(received.isRelayed);
     EXPECT_EQ(received.earlierRuns, 1u);
+    EXPECT_TRUE(received.isRetry);
+    EXPECT_EQ(codec.forward(received, send).count("Kumquatpick-Relayed-Retry"), 0u);
     EXPECT_EQ(codec.forward(received, send).count("Kumquatpick-Relayed"), 0u);
 }
 
