--- a/tests/platform/gatewayprocess.cpp
+++ b/tests/platform/gatewayprocess.cpp
@@ -43,7 +43,9 @@
     std::vector<std::string> arguments { "--name", m_options.name, "--zone", "z1", "--caller-listen",
         m_callers.toString(), "--readiness-listen", m_readiness.toString(), "--entries-listen", m_entries.toString(),
         "--peer-listen", m_peers.toString(), "--store", m_options.store.toString(), "--stop-grace-s",
-        std::to_string(m_options.grace.count()), "--retry-allowance", "1000" };
+        std::to_string(m_options.grace.count()), "--retry-allowance", std::to_string(m_options.retryAllowance),
+        "--retry-window-s", std::to_string(m_options.retryWindow.count()), "--first-start",
+        m_starts == 0 ? "true" : "false" };
     if (!m_options.seeds.empty()) {
         arguments.emplace_back("--seeds");
         arguments.push_back(m_options.seeds);
--- a/tests/platform/gatewayprocess.h
+++ b/tests/platform/gatewayprocess.h
@@ -22,6 +22,8 @@
         std::string seeds;
         std::chrono::seconds grace { 8 };
         std::string logFiles; // Path of its output; ".out" and ".err" are added.
+        int retryAllowance = 1000; // Most soaks have few requests.
+        std::chrono::seconds retryWindow { 10 };
     };
 
     explicit GatewayProcess(Options);
--- a/tests/platform/platformfakes.cpp
+++ b/tests/platform/platformfakes.cpp
@@ -410,7 +410,7 @@
 {
     std::string callId = request.get_header_value("Attempt-Id");
     Arrival arrival { std::chrono::steady_clock::now(), callId.substr(0, callId.rfind('-')), announcedLimit,
-        refusesRequests ? requestedBackoff.load() : 0, announcesDraining };
+        refusesRequests ? requestedBackoff.load() : 0, announcesDraining, callId };
     if (arrival.announcedDraining)
         response.set_header("Server-Leaving", "1");
     if (arrival.announcedLimit >= 0)
--- a/tests/platform/platformfakes.h
+++ b/tests/platform/platformfakes.h
@@ -136,6 +136,7 @@
         double announcedLimit = -1;
         int requestedBackoff = 0;
         bool announcedDraining = false;
+        std::string callId = {};
     };
     std::vector<Arrival> arrivals();
     // Requests with such bodies end the server that runs them.
