--- a/src/fleet/retryallowance.cpp
+++ b/src/fleet/retryallowance.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    constexpr Milliseconds fundLength { 250 };
-    // With the funds of a lifetime that a window begins with, 0.96 of the limit. The rest is for the rounding of
-    // fractions, and for sends that take longer than others.
+    constexpr Milliseconds slotLength { 250 };
+    // With the tokens that a window begins with, 0.96 of the limit. The rest is for the rounding of fractions, and for
+    // sends that take longer than others.
     constexpr double usableShare = 0.8;
 
 }
@@ -20,13 +20,13 @@
 {
 }
 
-// Each share holds until it changes, so services get what is due before.
+// What was due until now is added at the share before.
 void RetryAllowance::setNodes(std::optional<uint32_t> nodes, MonotonicTime now)
 {
     if (nodes == m_nodes)
         return;
     for (auto& [name, service] : m_services)
-        addShare(service, now);
+        refill(service, now);
     m_nodes = nodes;
     m_nodesSetAt = now;
 }
@@ -37,26 +37,26 @@
     if (found == m_services.end())
         found = m_services.emplace(name, Service { {}, m_nodesSetAt, m_roundingPhase, { std::string(name) } }).first;
     Service& service = found->second;
-    addShare(service, now);
-    std::erase_if(service.funds, [&](const Fund& fund) { return now - fund.begin > fundLifetime; });
+    refill(service, now);
+    std::erase_if(service.slots, [&](const TokenSlot& slot) { return now - slot.begin > tokenLifetime; });
     return service;
 }
 
-void RetryAllowance::add(Service& service, double retries, MonotonicTime at)
+void RetryAllowance::add(Service& service, double tokens, MonotonicTime at)
 {
-    if (service.funds.empty() || at - service.funds.back().begin >= fundLength)
-        service.funds.push_back({ at });
-    service.funds.back().retries += retries;
+    if (service.slots.empty() || at - service.slots.back().begin >= slotLength)
+        service.slots.push_back({ at });
+    service.slots.back().tokens += tokens;
 }
 
-void RetryAllowance::addShare(Service& service, MonotonicTime now)
+void RetryAllowance::refill(Service& service, MonotonicTime now)
 {
     double perSecond = m_nodes ? usableShare * m_limits.allowance / toSeconds(m_limits.window) / *m_nodes : 0;
-    service.fundedUntil = std::max(service.fundedUntil, now - fundLifetime);
-    while (service.fundedUntil < now) {
-        MonotonicTime from = service.fundedUntil;
-        service.fundedUntil = std::min<MonotonicTime>(now, from + fundLength);
-        add(service, perSecond * toSeconds(service.fundedUntil - from), from);
+    service.refilledUntil = std::max(service.refilledUntil, now - tokenLifetime);
+    while (service.refilledUntil < now) {
+        MonotonicTime from = service.refilledUntil;
+        service.refilledUntil = std::min<MonotonicTime>(now, from + slotLength);
+        add(service, perSecond * toSeconds(service.refilledUntil - from), from);
     }
 }
 
@@ -70,13 +70,13 @@
 double RetryAllowance::remaining(const Service& service)
 {
     double sum = 0;
-    for (const Fund& fund : service.funds)
-        sum += fund.retries;
+    for (const TokenSlot& slot : service.slots)
+        sum += slot.tokens;
     return sum;
 }
 
-// Spends funds of one retry, the oldest first. Where there are less, spends them all: one such spending in so many is a
-// retry that they add up to one.
+// Spends one token, of the oldest. Where there is less than one, spends what there is; the retry is allowed once such
+// fractions add up to a token.
 bool RetryAllowance::take(Service& service)
 {
     double left = std::min(1.0, remaining(service));
@@ -85,9 +85,9 @@
     bool isAllowed = left >= 1 || service.rounding >= 1;
     if (left < 1 && isAllowed)
         service.rounding -= 1;
-    for (Fund& fund : service.funds) {
-        double spent = std::min(left, fund.retries);
-        fund.retries -= spent;
+    for (TokenSlot& slot : service.slots) {
+        double spent = std::min(left, slot.tokens);
+        slot.tokens -= spent;
         left -= spent;
     }
     return isAllowed;
@@ -108,7 +108,7 @@
         RetryUse use = std::exchange(service.use, { name });
         if (use.retries + use.refused == 0)
             continue;
-        addShare(service, now);
+        refill(service, now);
         use.remaining = remaining(service);
         result.push_back(std::move(use));
     }
--- a/src/fleet/retryallowance.h
+++ b/src/fleet/retryallowance.h
@@ -28,18 +28,19 @@
     double remaining = 0; // Retries that it allows now.
 };
 
-// This node's share of the fleet's limit on retries. Each first send funds a fraction of a retry, and so does each
-// second, by an even share of the fixed allowance. Funds expire soon.
+// This node's share of the fleet's limit on retries: a token bucket for each service, in which a retry costs a token.
+// Each first send adds a fraction of a token, and each second adds this node's even share of the fixed allowance.
+// Unused tokens expire soon.
 //
-// So the total keeps the limit without any messages, whatever becomes of nodes: funds arise once, at one node, and what
-// a node has not used ends with its process. In a sliding window per node, callers that move to other nodes, and
-// processes that start, would be given again what others have used in the same window.
+// So the total keeps the limit, whatever becomes of nodes: a token arises once, at one node, and ends with its process.
+// With a sliding window per node, callers that move to other nodes, and processes that start, would be given again what
+// others have used in the same window.
 class RetryAllowance {
 public:
-    // Unused funds expire after this time. A window may begin with as many.
-    static constexpr Milliseconds fundLifetime { 2000 };
+    // Unused tokens expire after this time. A window may begin with as many.
+    static constexpr Milliseconds tokenLifetime { 2000 };
 
-    // roundingPhase: uniform in [0, 1), so that nodes with little funds do not all round at the same time.
+    // roundingPhase: uniform in [0, 1), so that nodes with few tokens do not all round at the same time.
     RetryAllowance(RetryLimits, double roundingPhase);
 
     // The nodes among which the fixed allowance is divided; nullopt while they are unknown, so that there is no share.
@@ -53,20 +54,20 @@
     uint32_t nodes() const { return m_nodes.value_or(0); }
 
 private:
-    struct Fund {
+    struct TokenSlot {
         MonotonicTime begin;
-        double retries = 0;
+        double tokens = 0;
     };
     struct Service {
-        std::deque<Fund> funds; // Oldest first.
-        MonotonicTime fundedUntil; // By the fixed allowance.
-        double rounding = 0; // Fractions of a retry that were spent without one.
+        std::deque<TokenSlot> slots; // Oldest first.
+        MonotonicTime refilledUntil; // By the share of the fixed allowance.
+        double rounding = 0; // Fractions of a token that were spent without a retry.
         RetryUse use; // Since the last report.
     };
 
     Service& serviceAt(std::string_view name, MonotonicTime now);
-    void addShare(Service&, MonotonicTime now);
-    static void add(Service&, double retries, MonotonicTime at);
+    void refill(Service&, MonotonicTime now);
+    static void add(Service&, double tokens, MonotonicTime at);
     static double remaining(const Service&);
     static bool take(Service&);
 
--- a/tests/fleet/retryallowance_test.cpp
+++ b/tests/fleet/retryallowance_test.cpp
@@ -66,18 +66,18 @@
     EXPECT_EQ(takeAll(allowance, start + 10s), 16);
 }
 
-// Guards against funds that add up while nothing needs a retry, and are spent in one window.
-TEST(RetryAllowance, UnusedFundsExpire)
+// Guards against tokens that add up while nothing needs a retry, and are spent in one window.
+TEST(RetryAllowance, UnusedTokensExpire)
 {
     RetryAllowance allowance = allowanceOf(1);
     for (int i = 0; i < 1000; ++i)
         allowance.recordFirstSend("desk", start + i * 10ms);
     constexpr double perSecond = 0.8 * (0.2 * 100 + 10);
-    EXPECT_NEAR(takeAll(allowance, start + 10s), perSecond * toSeconds(RetryAllowance::fundLifetime), perSecond / 4);
+    EXPECT_NEAR(takeAll(allowance, start + 10s), perSecond * toSeconds(RetryAllowance::tokenLifetime), perSecond / 4);
     EXPECT_EQ(takeAll(allowance, start + 20s), 16) << "the fixed part alone";
 }
 
-// Guards against a small node, of which no moment has funds of a whole retry, that never makes one.
+// Guards against a small node, which never has a whole token, and so would never retry.
 TEST(RetryAllowance, FractionsAddUp)
 {
     RetryAllowance allowance = allowanceOf(1000);
