--- a/tests/fleet/fleetretries_test.cpp
+++ b/tests/fleet/fleetretries_test.cpp
@@ -119,7 +119,7 @@
     constexpr RetryLimits thinLimits { 0.2, 40, std::chrono::seconds(10) };
 
     // The same with much traffic and with little, where the fixed allowance is most of the limit.
-    void expectWithinLimit(std::vector<Demand> demands, std::vector<Disruption> disruptions)
+    void expectWithinLimit(std::vector<Demand> demands, const std::vector<Disruption>& disruptions)
     {
         expectWithinLimit({ {}, 30s, demands, disruptions });
         for (Demand& demand : demands)
