--- a/review/standin/net.cpp
+++ b/review/standin/net.cpp
@@ -14,7 +14,7 @@
 
     void serveConnection(Tcp::socket socket, const std::function<bool(Connection&, Request&)>& handler)
     {
-        Connection connection { std::move(socket), {} };
+        Connection connection { std::move(socket), {}, false };
         beast::error_code error;
         connection.socket.set_option(Tcp::no_delay(true), error);
         for (;;) {
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -32,6 +32,7 @@
 struct Connection {
     Tcp::socket socket;
     beast::flat_buffer buffer;
+    bool owesExtra = false; // An extra response is still to be sent here.
 };
 
 // Calls the handler for each request of each connection until it returns false. Returns the port.
--- a/review/standin/server.cpp
+++ b/review/standin/server.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 // A backend server of a plain service, as a process of its own. Arguments are NAME=VALUE:
 //
@@ -18,8 +19,8 @@
 //   slots, queue    requests that it runs at once, and that wait for a slot; further ones are refused
 //   work_ms         how long it works on a request
 //   unframed=1      its answers have no length and end with their connection, half of the body is sent at once
-//   repeat_refusal  of its refusals, each one of this number is sent again, late: in front of the next answer on that
-//                   connection; 0: none
+//   extra_every     after each one of this number of answers, it sends an extra response on that connection, late: as soon
+//                   as it works on the next request there. The extra response is a refusal that names no request
 //   fatal           a body that ends the process as soon as it begins to work on it
 
 namespace {
@@ -96,7 +97,7 @@
         , m_fatal(arguments.text("fatal"))
         , m_workMs(arguments.number("work_ms"))
         , m_isUnframed(arguments.number("unframed") == 1)
-        , m_repeatRefusal(arguments.number("repeat_refusal"))
+        , m_extraEvery(arguments.number("extra_every"))
         , m_slots(arguments.number("slots"), arguments.number("queue"))
         , m_record(::open(arguments.text("record").c_str(), O_WRONLY | O_APPEND | O_CREAT, 0644))
     {
@@ -104,7 +105,6 @@
 
     bool answer(Connection& connection, const Request& request)
     {
-        sendRepeatedRefusal(connection);
         if (request.target() == "/healthz")
             return reply(connection, response(http::status::ok));
         std::string attempt(request["Attempt-Id"]);
@@ -115,6 +115,7 @@
         write("runs", attempt);
         if (!m_fatal.empty() && request.body() == m_fatal)
             ::kill(::getpid(), SIGKILL);
+        sendExtraResponse(connection, attempt);
         bool keeps = m_isUnframed ? answerUnframed(connection, attempt) : answerFramed(connection, attempt);
         m_slots.giveBack();
         return keeps;
@@ -138,23 +139,18 @@
         write("refuses", attempt);
         Response refusal = response(http::status::service_unavailable);
         refusal.set("Not-Executed", "1");
-        if (m_repeatRefusal > 0 && ++m_refusals % m_repeatRefusal == 0) {
-            std::lock_guard lock(m_mutex);
-            m_repeats[&connection] = refusal;
-        }
+        refusal.set("Attempt-Id", attempt);
         return reply(connection, std::move(refusal));
     }
 
-    // An answer too many, at the point where the next one is expected.
-    void sendRepeatedRefusal(Connection& connection)
+    void sendExtraResponse(Connection& connection, const std::string& attempt)
     {
-        std::unique_lock lock(m_mutex);
-        auto repeat = m_repeats.extract(&connection);
-        lock.unlock();
-        if (repeat.empty())
+        if (!std::exchange(connection.owesExtra, false))
             return;
-        write("sends its refusal again", "-");
-        reply(connection, std::move(repeat.mapped()));
+        write("sends-extra-before-answer-to", attempt);
+        Response extra = response(http::status::service_unavailable);
+        extra.set("Not-Executed", "1");
+        reply(connection, std::move(extra));
     }
 
     bool answerFramed(Connection& connection, const std::string& attempt)
@@ -165,6 +161,7 @@
         answer.set("Response-Seal", "seal-" + m_id);
         answer.body() = body(attempt);
         write("answers", attempt);
+        connection.owesExtra = m_extraEvery > 0 && ++m_answers % m_extraEvery == 0;
         return reply(connection, std::move(answer));
     }
 
@@ -194,12 +191,10 @@
     std::string m_fatal;
     int m_workMs;
     bool m_isUnframed;
-    int m_repeatRefusal;
+    int m_extraEvery;
     Slots m_slots;
     int m_record;
-    std::atomic<int> m_refusals { 0 };
-    std::mutex m_mutex;
-    std::map<Connection*, Response> m_repeats;
+    std::atomic<int> m_answers { 0 };
 };
 
 }
