--- a/review/build.sh
+++ b/review/build.sh
@@ -12,7 +12,7 @@
 for object in "${objects[@]}"; do
     wait "$object"
 done
-parts=(build/standin-net.o build/standin-store.o build/standin-deployment.o)
+parts=(build/standin-net.o build/standin-store.o build/standin-modelserver.o build/standin-deployment.o)
 "${compile[@]}" build/standin-server.o build/standin-net.o -o build/server
 for main in build/[1-5]-*.o; do
     [ -e "$main" ] || continue
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -20,9 +20,25 @@
     constexpr int missedHeartbeats = 3; // After these the entry of a silent server is removed.
     constexpr const char* service = "results-desk";
     constexpr const char* host = "desk.example";
+    constexpr Milliseconds storeHistory { 20'000 };
     constexpr const char* key = "n2ctnfzs989anu6wsjnb";
 
-    // A configuration like that of a small deployment, with the plain service only.
+    // The service with models: replicas of two servers.
+    json modelService()
+    {
+        json model { { "name", modelName }, { "size", 2 }, { "fraction", 1.0 }, { "pace", 1.0 }, { "loadS", 12.0 },
+            { "warmS", 1.1 } };
+        json runtime { { "capacity", 17 }, { "kvCapacity", 1860000 }, { "kvBytes", 96256 }, { "stride", 5 },
+            { "modelList", json::array({ model }) }, { "step_ms", 7.8 }, { "per_seq_ms", 0.0947 },
+            { "context_per_k", 0.0096 }, { "read_per_s", 45900.0 }, { "pairs_per_m", 0.433 }, { "chunk", 2048 },
+            { "report_lag_ms", 200.0 }, { "loadsPerS", 5.0 }, { "loads_at_once", 7 }, { "delays", json::array() },
+            { "usual", { { "prompt", 979 }, { "answer", 154 } } }, { "cacheEntries", 1 }, { "far_x", 4.0 },
+            { "formationMs", 300.0 } };
+        return { { "name", modelServiceName }, { "healthCheck", "/healthz" }, { "maxConnections", 358 },
+            { "protocol", "h1" }, { "tls", false }, { "runtime", runtime } };
+    }
+
+    // A configuration like that of a small deployment.
     std::string configText()
     {
         auto route = [](const char* name, const char* prefix, const char* type) {
@@ -30,13 +46,20 @@
                 { "timeoutMs", 4000 }, { "targetLatencyMs", 300 }, { "priority", 2 }, { "service", service },
                 { "maxAttempts", 2 }, { "public", false }, { "sessionAffinity", false }, { "streamResume", false } };
         };
+        json summaries = route("r-summaries", "/summaries/", "streaming");
+        summaries["service"] = modelServiceName;
+        summaries["timeoutMs"] = 8000;
+        summaries["sessionAffinity"] = true;
+        summaries["streamResume"] = true;
+        summaries["targetGapMs"] = 300;
         json config { { "version", 7 },
             { "routes",
                 json::array({ route("r-claims", "/claims/", "non_idempotent"),
-                    route("r-lookups", "/lookups/", "idempotent") }) },
+                    route("r-lookups", "/lookups/", "idempotent"), summaries }) },
             { "services",
                 json::array({ { { "name", service }, { "healthCheck", "/healthz" }, { "maxConnections", 96 },
-                    { "protocol", "h1" }, { "tls", false } } }) },
+                                  { "protocol", "h1" }, { "tls", false } },
+                    modelService() }) },
             { "limits",
                 { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 }, { "headerTimeoutMs", 3000 },
                     { "idleTimeoutMs", 15000 } } },
@@ -147,6 +170,7 @@
 Deployment::Deployment(const std::string& folder, Record& record)
     : m_folder(folder)
     , m_record(record)
+    , m_store(storeHistory)
 {
     m_store.put("keyed.op", "config", configText());
     m_beats = std::thread([this] { beat(); });
@@ -188,6 +212,13 @@
     server.process->kill();
 }
 
+void Deployment::addModelServers(int count)
+{
+    for (int i = 0; i < count; ++i)
+        m_modelServers.push_back(std::make_unique<ModelServer>(m_store, "i-writer-" + std::to_string(i)));
+    m_record.line(std::to_string(count) + " model servers are added");
+}
+
 GatewayNode& Deployment::addGateway(const std::string& name)
 {
     m_gateways.push_back(std::make_unique<GatewayNode>(name, m_folder));
@@ -251,12 +282,13 @@
     server.isListed = true;
 }
 
-Answer Deployment::send(GatewayNode& node, std::string_view method, const std::string& path,
-    const std::string& attempt, const std::string& body, Milliseconds patience)
+Answer Deployment::send(GatewayNode& node, std::string_view method, const std::string& path, const std::string& attempt,
+    const std::string& body, Milliseconds patience, const Headers& further)
 {
     m_record.line("client sends " + attempt + " " + path);
     Headers headers { { "Host", host }, { "Attempt-Id", attempt }, { "Key", key },
         { "Deadline-Ms", std::to_string(patience.count()) } };
+    headers.insert(headers.end(), further.begin(), further.end());
     // A client waits somewhat longer than the time that it names.
     Answer answer = ask(node.callers(), method, path, headers, body, patience + Milliseconds(1000));
     m_record.line("client got " + attempt + " " + std::to_string(answer.status) + " "
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standin/modelserver.h"
 #include "standin/net.h"
 #include "standin/store.h"
 
@@ -51,6 +52,7 @@
     void start(uint16_t store, const std::string& seeds, bool isFirstStart);
     void kill();
     uint16_t callers() const { return m_callers; }
+    const std::string& name() const { return m_name; }
     std::string peers() const { return "127.0.0.1:" + std::to_string(m_peers); }
     bool isReady() const;
     bool hasEnded() const { return m_process && m_process->hasEnded(); }
@@ -77,7 +79,7 @@
     int64_t beatAt = 0;
 };
 
-// A small deployment: a store, servers of one plain service and gateway nodes.
+// A small deployment: a store, gateway nodes, servers of a plain service and of one with models.
 class Deployment {
 public:
     Deployment(const std::string& folder, Record&);
@@ -87,17 +89,20 @@
     void startServer(ServerNode&);
     // Ends the process; its entry expires.
     void killServer(ServerNode&);
+    // Empty model servers of one fault domain.
+    void addModelServers(int count);
     GatewayNode& addGateway(const std::string& name);
     void startGateways(bool isFirstStart);
     void startGateway(GatewayNode& node, bool isFirstStart) { node.start(m_store.port(), seeds(), isFirstStart); }
     // Returns false if a node isn't ready in time.
     bool awaitReady(Milliseconds);
     std::vector<std::unique_ptr<GatewayNode>>& gateways() { return m_gateways; }
+    Store& store() { return m_store; }
     std::vector<std::unique_ptr<ServerNode>>& servers() { return m_servers; }
 
     // Sends a request to a node as a client and records it with its answer.
     Answer send(GatewayNode&, std::string_view method, const std::string& path, const std::string& attempt,
-        const std::string& body, Milliseconds patience);
+        const std::string& body, Milliseconds patience, const Headers& further = {});
 
 private:
     void beat();
@@ -108,6 +113,7 @@
     Record& m_record;
     Store m_store;
     std::vector<std::unique_ptr<ServerNode>> m_servers;
+    std::vector<std::unique_ptr<ModelServer>> m_modelServers;
     std::vector<std::unique_ptr<GatewayNode>> m_gateways;
     std::mutex m_mutex;
     std::atomic<bool> m_isEnding { false };
--- a/review/standin/net.cpp
+++ b/review/standin/net.cpp
@@ -128,9 +128,6 @@
     return answer;
 }
 
-int64_t nowMs()
-{
-    return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
-}
+int64_t nowMs() { return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count(); }
 
 } // namespace Review
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -4,8 +4,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
--- a/review/standin/server.cpp
+++ b/review/standin/server.cpp
@@ -19,7 +19,8 @@
 //   slots, queue    requests that it runs at once, and that wait for a slot; further ones are refused
 //   work_ms         how long it works on a request
 //   unframed=1      its answers have no length and end with their connection, half of the body is sent at once
-//   extra_every     after each one of this number of answers, it sends an extra response on that connection, late: as soon
+//   extra_every     after each one of this number of answers, it sends an extra response on that connection, late: as
+//   soon
 //                   as it works on the next request there. The extra response is a refusal that names no request
 //   fatal           a body that ends the process as soon as it begins to work on it
 
@@ -168,8 +169,8 @@
     bool answerUnframed(Connection& connection, const std::string& attempt)
     {
         std::string text = body(attempt);
-        std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nAttempt-Id: " + attempt
-            + "\r\nResponse-Seal: seal-" + m_id + "\r\n\r\n" + text.substr(0, text.size() / 2);
+        std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nAttempt-Id: " + attempt + "\r\nResponse-Seal: seal-"
+            + m_id + "\r\n\r\n" + text.substr(0, text.size() / 2);
         beast::error_code error;
         asio::write(connection.socket, asio::buffer(head), error);
         std::this_thread::sleep_for(Milliseconds(m_workMs));
