--- a/review/standin/net.cpp
+++ b/review/standin/net.cpp
@@ -3,7 +3,8 @@
 #include <boost/asio/connect.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <memory>
+#include <random>
+#include <set>
 #include <thread>
 
 namespace Review {
@@ -80,11 +81,23 @@
     return {};
 }
 
+// Below the ports that the system takes for outgoing connections, so that a process that starts again finds it free.
 uint16_t freePort()
 {
+    constexpr uint16_t first = 20'000;
+    constexpr uint16_t count = 10'000;
+    static std::mt19937 random { std::random_device {}() };
+    static std::set<uint16_t> given; // Its holder may not have bound it yet.
     asio::io_context io;
-    Tcp::acceptor acceptor(io, loopback(0));
-    return acceptor.local_endpoint().port();
+    for (;;) {
+        auto port = static_cast<uint16_t>(first + random() % count);
+        Tcp::acceptor acceptor(io);
+        acceptor.open(Tcp::v4());
+        beast::error_code error;
+        acceptor.bind(loopback(port), error);
+        if (!error && given.insert(port).second)
+            return port;
+    }
 }
 
 Answer ask(uint16_t port, std::string_view method, const std::string& target, const Headers& headers,
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -41,7 +41,7 @@
 bool reply(Connection&, Response, bool keepAlive = true);
 std::string queryValue(std::string_view target, std::string_view name);
 
-// A port that was free a moment ago.
+// A port that was free a moment ago, each one once.
 uint16_t freePort();
 
 // What a client has seen of one request.
