--- a/tests/platform/gatewayprocess.cpp
+++ b/tests/platform/gatewayprocess.cpp
@@ -50,7 +50,8 @@
         arguments.emplace_back("--seeds");
         arguments.push_back(m_options.seeds);
     }
-    m_process = std::make_unique<Process>("kumquatpick-gateway", arguments, filesOfStart(m_options, ++m_starts));
+    m_process = std::make_unique<Process>(
+        "kumquatpick-gateway", arguments, filesOfStart(m_options, ++m_starts), m_options.variables);
 }
 
 void GatewayProcess::stop()
--- a/tests/platform/gatewayprocess.h
+++ b/tests/platform/gatewayprocess.h
@@ -19,11 +19,12 @@
     struct Options {
         std::string name;
         Address store;
-        std::string seeds;
+        std::string seeds {};
         std::chrono::seconds grace { 8 };
         std::string logFiles; // Path of its output; ".out" and ".err" are added.
         int retryAllowance = 1000; // Most soaks have few requests.
         std::chrono::seconds retryWindow { 10 };
+        std::vector<std::string> variables {}; // NAME=VALUE, for settings that are not given as flags here.
     };
 
     explicit GatewayProcess(Options);
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -195,7 +195,9 @@
     } else {
         append(flags, { "--listen", listenAt(member.address) });
     }
-    member.process = std::make_unique<Process>(member.program, flags, m_folder.file(name));
+    std::vector<std::string> variables
+        = member.program == daemonProgram ? m_settings.nodeVariables : std::vector<std::string>();
+    member.process = std::make_unique<Process>(member.program, flags, m_folder.file(name), std::move(variables));
     nlohmann::json line = member.process->firstLine();
     member.address = parseAddress(line.at("listening"));
     if (line.contains("peer"))
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -26,6 +26,7 @@
     std::vector<std::string> engineFlags { "--token-ms", "2", "--prefill-ms", "1" };
     std::vector<std::string> plainFlags {};
     std::vector<std::string> nodeFlags {};
+    std::vector<std::string> nodeVariables {}; // NAME=VALUE.
 };
 
 // One request to a process of the fleet; status 0 if nothing came back.
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -5,6 +5,8 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <limits>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -28,7 +30,8 @@
     }
 
     // Children start with no signal blocked, whatever the test program does.
-    pid_t spawn(const std::string& program, std::vector<std::string>& arguments, const std::string& files)
+    pid_t spawn(const std::string& program, std::vector<std::string>& arguments, const std::string& files,
+        std::vector<std::string>& variables)
     {
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
@@ -47,8 +50,15 @@
         for (std::string& argument : arguments)
             argv.push_back(argument.data());
         argv.push_back(nullptr);
+        std::vector<char*> environment;
+        environment.reserve(variables.size());
+        for (std::string& variable : variables)
+            environment.push_back(variable.data());
+        for (char** variable = environ; *variable; ++variable)
+            environment.push_back(*variable);
+        environment.push_back(nullptr);
         pid_t pid = -1;
-        int failure = posix_spawn(&pid, program.c_str(), &actions, &attributes, argv.data(), environ);
+        int failure = posix_spawn(&pid, program.c_str(), &actions, &attributes, argv.data(), environment.data());
         posix_spawnattr_destroy(&attributes);
         posix_spawn_file_actions_destroy(&actions);
         if (failure != 0)
@@ -71,12 +81,13 @@
     std::filesystem::remove_all(m_path, ignored);
 }
 
-Process::Process(const std::string& program, std::vector<std::string> arguments, const std::string& files)
+Process::Process(const std::string& program, std::vector<std::string> arguments, const std::string& files,
+    std::vector<std::string> variables)
     : m_files(files)
 {
     std::string path = std::string(KUMQUATPICK_PROGRAMS) + "/" + program;
     arguments.insert(arguments.begin(), path);
-    m_pid = spawn(path, arguments, files);
+    m_pid = spawn(path, arguments, files, variables);
 }
 
 Process::~Process()
@@ -143,4 +154,24 @@
     return residentPages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+uint64_t Process::peakResidentBytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    constexpr uint64_t kibibyte = 1024;
+    for (std::string name; status >> name;) {
+        uint64_t value = 0;
+        if (name == "VmHWM:" && status >> value)
+            return value * kibibyte;
+        status.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+    }
+    return 0;
+}
+
+size_t Process::openDescriptors() const
+{
+    std::error_code error; // If the process has just ended, it has none.
+    std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_pid) + "/fd", error);
+    return error ? 0 : static_cast<size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace Kumquatpick
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -32,8 +32,10 @@
 // One of our programs as a process of the test; killed with the object. What it prints goes to files.
 class Process {
 public:
-    // The program's name, such as "kumquatpickd"; the files are the given path with .out and .err added.
-    Process(const std::string& program, std::vector<std::string> arguments, const std::string& files);
+    // The program's name, such as "kumquatpickd"; the files are the given path with .out and .err added. The variables,
+    // as NAME=VALUE, are added to those of the test.
+    Process(const std::string& program, std::vector<std::string> arguments, const std::string& files,
+        std::vector<std::string> variables = {});
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
@@ -55,6 +57,9 @@
     std::string errors() const;
     // Resident memory in bytes; 0 if it has ended.
     uint64_t residentBytes() const;
+    // The most that it ever had resident; 0 if it has ended.
+    uint64_t peakResidentBytes() const;
+    size_t openDescriptors() const;
 
 private:
     pid_t m_pid = -1;
