Bound what one chunk extension and the trailers of a body take

What callers saw: a client that sends trailers without end behind a chunked body, or a chunk extension without end, ends the node: it runs out of memory.

Cause: the parser needs such a part as a whole and asks for more until its end comes. The head and the body have limits, these parts have none, and the session's buffer had no largest size.

Change: the buffer holds a longest head and a margin. A longer extension or longer trailers get 431, as a longer head does. The limit is the operators' maxHeaderBytes, which bounds what a client may send.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -16,6 +16,9 @@
 namespace {
 
     constexpr size_t firstReadBytes = 4096;
+    // Beyond the longest head, so that a longer one is recognized as such. No chunk extension and no trailers may be
+    // longer than the buffer, as the parser needs each as a whole.
+    constexpr size_t bufferMargin = 4096;
     // Limit for reading a request body; the longest bodies take a fraction of a second.
     constexpr Milliseconds bodyTimeout { 10'000 };
     // Closing a connection with unread bytes resets it, and the caller might lose the response that was just sent.
@@ -98,6 +101,7 @@
 asio::awaitable<beast::error_code> CallerSession::readHeadAndBody(RequestParser& parser)
 {
     m_stream.expires_never();
+    m_buffer.max_size(std::max(m_buffer.size(), limits().headerBytes + bufferMargin));
     asio::steady_timer timer(m_stream.get_executor(), limits().headerTimeout);
     auto isLate = std::make_shared<bool>(false);
     auto cancelReads = [self = shared_from_this(), isLate](const beast::error_code& error) {
@@ -132,6 +136,9 @@
         co_return true;
     if (error == http::error::header_limit)
         co_await refuse(http::status::request_header_fields_too_large, "the request head is too large");
+    else if (error == http::error::buffer_overflow)
+        co_await refuse(
+            http::status::request_header_fields_too_large, "a chunk extension or the trailers are too large");
     else if (error == http::error::body_limit)
         co_await refuse(http::status::payload_too_large, "the request body is too large");
     else if (error == beast::error::timeout)
