Bound in sum what callers make a node hold

What callers saw: a crowd of callers ends a node, which runs out of memory, or takes all of its descriptors, so that the store and the backend servers can't be reached either. Bodies that stop short of their end are enough, as are answers that nobody reads, requests that wait for slow servers, heads of many small fields, or idle connections.

Cause: limits held for one request only, and nothing asked how much all connections hold. The node wasn't told its memory and descriptors. A body's string grew to twice what had arrived, and was reserved as announced. The time for a body ran whatever arrived; a refusal without a deadline waited without end for a caller that reads nothing.

Each connection has a share in the budget of the listener, and takes memory from it before it holds it: buffer, fields of the head, body, the copy that is being sent, the answer, and what the system has received while nobody reads. Where there is no room, the connection that holds most for longest ends: an idle one is closed, one whose request arrives gets 503 with Retry-After (none of it was forwarded), a running one is cancelled, and is told that it hasn't run only if no server was sent it. A connection that finds no place, as all others run requests, gets 503 at once. RequestReader reads head and body: memory grows with what arrives, and a body has to grow by 1 KiB/s in each 10 s instead of ending within 10 s. The head is decoded before the body, so that trailers add no fields (the test of this wasn't run against the code before). Answers have a time-out where no deadline ends them. Refusals of unread requests are counted and logged within bounds.

--- a/src/gateway/activecall.h
+++ b/src/gateway/activecall.h
@@ -19,12 +19,13 @@
     CallerDisconnected,
     DeadlineExceeded,
     NodeShutdown, // The shutdown grace period of the node is over.
+    MemoryShort, // Its connection holds more than others, for longer.
 };
 
 // For logs.
 constexpr const char* name(CancelReason reason)
 {
-    constexpr const char* names[] = { "none", "caller_left", "deadline", "shutdown" };
+    constexpr const char* names[] = { "none", "caller_left", "deadline", "shutdown", "memory" };
     return names[static_cast<size_t>(reason)];
 }
 
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -2,30 +2,30 @@
 
 #include "gateway/asio.h"
 #include "gateway/callforwarder.h"
+#include "gateway/requestreader.h"
 #include "gateway/task.h"
 
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <exception>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <sstream>
 
 namespace Kumquatpick {
 
 namespace {
 
     constexpr size_t firstReadBytes = 4096;
-    // Beyond the longest head, so that a longer one is recognized as such. No chunk extension and no trailers may be
-    // longer than the buffer, as the parser needs each as a whole.
-    constexpr size_t bufferMargin = 4096;
-    // Limit for reading a request body; the longest bodies take a fraction of a second.
-    constexpr Milliseconds bodyTimeout { 10'000 };
     // Closing a connection with unread bytes resets it, and the caller might lose the response that was just sent.
     constexpr Milliseconds lingerTimeout { 500 };
     constexpr size_t maxLingerBytes = 256 * 1024;
     // While the next request lies unread in a connection, its end can only be detected by polling.
     constexpr Milliseconds disconnectPollPeriod { 50 };
+    // Larger buffers are given back while a connection is idle.
+    constexpr size_t maxIdleBufferBytes = 8 * 1024;
+    // What one connection had to give up is soon used by others.
+    constexpr Milliseconds retryAfterEviction { 1000 };
 
     bool hasPeerClosed(asio::ip::tcp::socket& socket)
     {
@@ -33,16 +33,6 @@
         return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
-    // With more than one length, two parsers could disagree on where the body ends and treat part of it as another
-    // request (request smuggling).
-    bool hasSingleBodyLength(const RequestHead& head)
-    {
-        auto [first, last] = head.equal_range(http::field::content_length);
-        auto lengths = std::distance(first, last);
-        bool isChunked = head.find(http::field::transfer_encoding) != head.end();
-        return lengths + (isChunked ? 1 : 0) <= 1;
-    }
-
 }
 
 CallerSession::CallerSession(GatewayContext& context, asio::ip::tcp::socket socket)
@@ -59,6 +49,17 @@
     return m_context.routes ? m_context.routes->config().limits : defaults;
 }
 
+RequestLimits CallerSession::requestLimits() const
+{
+    const GatewaySettings& settings = m_context.settings;
+    return { limits().headerBytes, limits().bodyBytes, limits().headerTimeout, settings.bodyPeriod,
+        settings.bodyBytesPerSecond };
+}
+
+CallerSession::~CallerSession() = default;
+
+void CallerSession::setShare(std::unique_ptr<ClientShare> share) { m_share = std::move(share); }
+
 bool CallerSession::closeIfIdle()
 {
     if (!m_isIdle)
@@ -69,6 +70,36 @@
     return true;
 }
 
+void CallerSession::refuseAtOnce()
+{
+    HttpResponse response(http::status::service_unavailable, 11);
+    m_context.platform.setRetryAfter(response, retryAfterEviction);
+    response.keep_alive(false);
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    beast::error_code ignored; // The caller sees a closed connection if the answer does not arrive.
+    m_stream.socket().non_blocking(true, ignored);
+    m_stream.socket().write_some(asio::buffer(text.str()), ignored);
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void CallerSession::end(Shortage shortage)
+{
+    beast::error_code ignored; // The socket may be closed already.
+    if (closeIfIdle())
+        return;
+    if (shortage == Shortage::Descriptors) {
+        m_isClosed = true;
+        m_stream.socket().close(ignored);
+        return;
+    }
+    if (m_call)
+        return m_call->cancel(CancelReason::MemoryShort);
+    m_isEvicted = true;
+    m_stream.socket().cancel(ignored);
+}
+
 asio::awaitable<void> CallerSession::run()
 {
     bool keep = true;
@@ -76,65 +107,75 @@
     // its answer could not be delivered.
     while (keep && m_stream.socket().is_open() && co_await awaitFirstByte() && !m_isClosed) {
         m_isIdle = false;
-        RequestParser parser;
-        parser.header_limit(limits().headerBytes);
-        parser.body_limit(limits().bodyBytes);
-        keep = co_await readRequest(parser) && co_await forward(parser);
+        m_share->enter(ClientStage::Receiving);
+        auto call = co_await readRequest();
+        keep = call.has_value();
+        if (keep)
+            keep = co_await forward(std::move(*call));
+        m_share->hold(HeldPart::Unread, 0);
         m_isIdle = keep && m_buffer.size() == 0;
+        if (m_isIdle)
+            m_share->enter(ClientStage::Idle);
     }
     if (m_stream.socket().is_open())
         co_await closeAfterLinger();
+    m_share->releaseDescriptor();
 }
 
 asio::awaitable<bool> CallerSession::awaitFirstByte()
 {
     if (m_buffer.size() > 0)
         co_return true;
+    if (m_buffer.capacity() > maxIdleBufferBytes)
+        m_buffer.shrink_to_fit();
     m_stream.expires_after(limits().idleTimeout);
-    auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+    auto bytes = m_buffer.prepare(firstReadBytes);
+    m_share->hold(HeldPart::Buffer, m_buffer.capacity());
+    auto [error, count] = co_await m_stream.async_read_some(bytes, asTuple);
     m_buffer.commit(count);
     co_return !error && count > 0;
 }
 
-// Reads the head and then the body, each with its own timeout. The timeout of a stream would close the connection
-// before the caller could be sent the reason.
-asio::awaitable<beast::error_code> CallerSession::readHeadAndBody(RequestParser& parser)
-{
-    m_stream.expires_never();
-    m_buffer.max_size(std::max(m_buffer.size(), limits().headerBytes + bufferMargin));
-    asio::steady_timer timer(m_stream.get_executor(), limits().headerTimeout);
-    auto isLate = std::make_shared<bool>(false);
-    auto cancelReads = [self = shared_from_this(), isLate](const beast::error_code& error) {
-        if (error)
-            return;
-        *isLate = true;
-        beast::error_code ignored; // If this fails, no read is pending.
-        self->m_stream.socket().cancel(ignored);
-    };
-    timer.async_wait(cancelReads);
-    auto [headError, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
-    if (headError)
-        co_return *isLate ? beast::error_code(beast::error::timeout) : headError;
-    if (parser.get()[http::field::expect] == "100-continue") {
-        constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(m_stream, asio::buffer(continueResponse), asTuple);
-    }
-    if (!hasSingleBodyLength(parser.get()))
-        co_return http::error::bad_content_length;
-    if (parser.is_done())
-        co_return beast::error_code();
-    timer.expires_after(bodyTimeout);
-    timer.async_wait(cancelReads);
-    auto [bodyError, bodyBytes] = co_await http::async_read(m_stream, m_buffer, parser, asTuple);
-    co_return *isLate ? beast::error_code(beast::error::timeout) : bodyError;
+// The head is decoded before the body is read, as trailers must not take the place of its fields.
+asio::awaitable<std::variant<Call, beast::error_code, Error>> CallerSession::receive()
+{
+    RequestReader reader(m_stream, m_buffer, *m_share, requestLimits());
+    beast::error_code error = co_await reader.readHead();
+    if (error)
+        co_return error;
+    auto decoded = m_context.platform.call(reader.head());
+    if (auto* problem = std::get_if<Error>(&decoded))
+        co_return std::move(*problem);
+    error = co_await reader.readBody();
+    if (error)
+        co_return error;
+    m_keepsAlive = reader.keepAlive();
+    auto& call = std::get<Call>(decoded);
+    call.body = reader.takeBody();
+    co_return std::move(call);
 }
 
-asio::awaitable<bool> CallerSession::readRequest(RequestParser& parser)
+asio::awaitable<std::optional<Call>> CallerSession::readRequest()
 {
-    beast::error_code error = co_await readHeadAndBody(parser);
-    if (!error)
-        co_return true;
-    if (error == http::error::header_limit)
+    auto received = co_await receive();
+    if (auto* call = std::get_if<Call>(&received))
+        co_return std::move(*call);
+    m_share->hold(HeldPart::Head, 0);
+    m_share->hold(HeldPart::Body, 0);
+    if (auto* problem = std::get_if<Error>(&received))
+        co_await refuse(http::status::bad_request, problem->detail);
+    else
+        co_await refuseUnread(std::get<beast::error_code>(received));
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> CallerSession::refuseUnread(const beast::error_code& error)
+{
+    bool isShortOfMemory = m_isEvicted || error == asio::error::no_buffer_space;
+    bool isCallerGone = error == http::error::end_of_stream || error == asio::error::connection_reset || m_isClosed;
+    if (isShortOfMemory && !m_isClosed)
+        co_await refuse(http::status::service_unavailable, "memory is short", retryAfterEviction);
+    else if (error == http::error::header_limit)
         co_await refuse(http::status::request_header_fields_too_large, "the request head is too large");
     else if (error == http::error::buffer_overflow)
         co_await refuse(
@@ -143,25 +184,17 @@
         co_await refuse(http::status::payload_too_large, "the request body is too large");
     else if (error == beast::error::timeout)
         co_await refuse(http::status::request_timeout, "timed out while reading the request");
-    else if (error != http::error::end_of_stream && error != asio::error::connection_reset)
+    else if (!isCallerGone)
         co_await refuse(http::status::bad_request, error.message());
-    co_return false;
 }
 
-asio::awaitable<bool> CallerSession::forward(RequestParser& parser)
+asio::awaitable<bool> CallerSession::forward(Call call)
 {
-    bool keepAlive = parser.keep_alive();
-    HttpRequest request = parser.release();
-    auto decoded = m_context.platform.call(request);
-    if (auto* error = std::get_if<Error>(&decoded)) {
-        co_await refuse(http::status::bad_request, error->detail);
-        co_return false;
-    }
-    Call call = std::move(std::get<Call>(decoded));
-    call.body = std::move(request.body());
-
-    CallForwarder forwarder(m_context, m_stream, std::move(call), keepAlive);
-    asio::co_spawn(m_stream.get_executor(), watchForDisconnect(forwarder.active()),
+    m_share->enter(ClientStage::Running);
+    m_share->hold(HeldPart::Body, call.body.capacity());
+    CallForwarder forwarder(m_context, m_stream, *m_share, std::move(call), m_keepsAlive);
+    m_call = forwarder.active();
+    asio::co_spawn(m_stream.get_executor(), watchForDisconnect(m_call),
         [self = shared_from_this()](const std::exception_ptr& exception) {
             logTaskFailure(self->m_context.log, "watching a caller's connection", exception);
         });
@@ -174,7 +207,10 @@
     }
     if (!problem.empty())
         co_await forwarder.respondAfterException(problem);
-    forwarder.active()->isDone = true;
+    m_call->isDone = true;
+    m_call.reset();
+    for (HeldPart part : { HeldPart::Head, HeldPart::Body, HeldPart::SentCopy, HeldPart::Answer })
+        m_share->hold(part, 0);
     beast::error_code ignored; // Ends watchForDisconnect(); the connection may already be closed.
     m_stream.socket().cancel(ignored);
     co_return keep;
@@ -191,14 +227,26 @@
             call->cancel(CancelReason::CallerDisconnected);
             co_return;
         }
+        countUnreadBytes();
         co_await sleepFor(disconnectPollPeriod);
     }
 }
 
-asio::awaitable<void> CallerSession::refuse(http::status status, std::string_view reason)
+// The next requests of a caller that does not wait for answers stay in the system's buffer of the connection.
+void CallerSession::countUnreadBytes()
+{
+    beast::error_code ignored; // Zero bytes then.
+    m_share->hold(HeldPart::Unread, m_stream.socket().available(ignored));
+}
+
+asio::awaitable<void> CallerSession::refuse(
+    http::status status, std::string_view reason, std::optional<Milliseconds> retryAfter)
 {
-    m_context.log.write("bad_request", { { "status", static_cast<unsigned>(status) }, { "reason", reason } });
+    m_context.metrics.count(fmt::format("requests_not_read_total{{status=\"{}\"}}", static_cast<unsigned>(status)));
+    m_context.log.writeRoutine("bad_request", { { "status", static_cast<unsigned>(status) }, { "reason", reason } });
     HttpResponse response(status, 11);
+    if (retryAfter)
+        m_context.platform.setRetryAfter(response, *retryAfter);
     response.keep_alive(false);
     response.set(http::field::content_type, "application/json");
     response.body() = nlohmann::json { { "error", reason } }.dump();
@@ -209,6 +257,10 @@
 
 asio::awaitable<void> CallerSession::closeAfterLinger()
 {
+    m_share->enter(ClientStage::Closing);
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_share->hold(HeldPart::Buffer, 0);
     beast::error_code ignored; // The connection is closed below in any case.
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_stream.expires_after(lingerTimeout);
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -4,6 +4,7 @@
 #include "fleet/callpriority.h"
 #include "fleet/serverleave.h"
 #include "gateway/asio.h"
+#include "gateway/clientconnections.h"
 #include "suspicion/suspicion.h"
 
 #include <algorithm>
@@ -36,9 +37,11 @@
 
 }
 
-CallForwarder::CallForwarder(GatewayContext& context, beast::tcp_stream& caller, Call call, bool keepAlive)
+CallForwarder::CallForwarder(
+    GatewayContext& context, beast::tcp_stream& caller, ClientShare& share, Call call, bool keepAlive)
     : m_context(context)
     , m_caller(caller)
+    , m_share(share)
     , m_call(std::move(call))
     , m_keepAlive(keepAlive)
     , m_routes(context.routes)
@@ -371,6 +374,18 @@
     return true;
 }
 
+asio::awaitable<bool> CallForwarder::reserve(HeldPart part, size_t bytes)
+{
+    bool hasRoom = m_share.tryReserve(part, bytes);
+    if (!hasRoom)
+        hasRoom = co_await m_share.reserve(part, bytes);
+    if (hasRoom)
+        co_return true;
+    m_active->cancel(CancelReason::MemoryShort);
+    m_lastError = "memory is short";
+    co_return false;
+}
+
 asio::awaitable<void> CallForwarder::respond(HttpResponse response)
 {
     if (!m_keepAlive || m_context.isStopping()) {
@@ -381,7 +396,15 @@
     m_active->responseStarted = true;
     if (response.result_int() >= 400)
         recordOutcome("refused", response.body());
+    // This is the last answer, so the request is not needed any more.
+    m_call.body = std::string();
+    m_share.hold(HeldPart::Body, 0);
+    m_share.hold(HeldPart::Answer, response.body().capacity());
+    m_share.enter(ClientStage::Answering);
+    // Without a route there is no deadline, and a refusal may be sent after it.
+    m_caller.expires_at(std::max(m_deadline, m_context.now() + m_context.settings.answerTimeout));
     auto [error, written] = co_await http::async_write(m_caller, response, asTuple);
+    m_caller.expires_never();
     if (error)
         m_active->cancel(CancelReason::CallerDisconnected);
 }
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -16,6 +16,9 @@
 
 namespace Kumquatpick {
 
+class ClientShare;
+enum class HeldPart : uint8_t;
+
 // Handles one call until its final response: finds its route and team, sends it to a backend server, sends it to
 // another one where that is safe, and returns the response. Lives as long as the call.
 //
@@ -23,7 +26,7 @@
 // received a response head. A refusal that guarantees "not run" is only sent while no send may have run the call.
 class CallForwarder {
 public:
-    CallForwarder(GatewayContext&, beast::tcp_stream& caller, Call, bool keepAlive);
+    CallForwarder(GatewayContext&, beast::tcp_stream& caller, ClientShare&, Call, bool keepAlive);
     ~CallForwarder();
     CallForwarder(const CallForwarder&) = delete;
     CallForwarder& operator=(const CallForwarder&) = delete;
@@ -97,6 +100,9 @@
     asio::awaitable<SendOutcome> sendThroughNode();
     asio::awaitable<SendOutcome> readNodeReply(PeerConnection&);
 
+    // Makes room for more memory of the caller's connection. Cancels the call if there is none.
+    asio::awaitable<bool> reserve(HeldPart, size_t bytes);
+
     // The final response.
     asio::awaitable<void> respond(HttpResponse);
     asio::awaitable<void> respondWithFailure();
@@ -107,6 +113,7 @@
 
     GatewayContext& m_context;
     beast::tcp_stream& m_caller;
+    ClientShare& m_share; // Of the caller's connection.
     Call m_call;
     bool m_keepAlive;
     std::shared_ptr<const RouteTable> m_routes;
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callforwarder.h"
 
 #include "gateway/asio.h"
+#include "gateway/clientconnections.h"
 
 #include <algorithm>
 #include <boost/beast/http/read.hpp>
@@ -97,9 +98,14 @@
     send.timeLeft = timeLeft();
     send.earlierRuns = m_possibleRuns;
     send.isRetry = m_isServerReached;
-    HttpRequest request = m_context.platform.relay(m_call, send);
+    bool hasRoom = co_await reserve(HeldPart::SentCopy, m_call.body.size());
+    if (!hasRoom)
+        co_return SendOutcome::NotRun;
+    std::optional<HttpRequest> request = m_context.platform.relay(m_call, send);
     connection.stream.expires_never();
-    auto [writeError, written] = co_await http::async_write(connection.stream, request, asTuple);
+    auto [writeError, written] = co_await http::async_write(connection.stream, *request, asTuple);
+    request.reset();
+    m_share.hold(HeldPart::SentCopy, 0);
     if (writeError) {
         recordBackendError("sending the request to a node", writeError);
         co_return SendOutcome::Broken;
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callforwarder.h"
 
 #include "gateway/asio.h"
+#include "gateway/clientconnections.h"
 #include "gateway/limitfield.h"
 #include "gateway/serverends.h"
 #include "suspicion/suspicion.h"
@@ -257,14 +258,20 @@
     send.lastEventId = m_eventStream.lastId();
     send.timeLeft = timeLeft();
     send.priority = priority();
-    HttpRequest request = m_context.platform.forward(m_call, send);
+    // The request is a copy of the call.
+    bool hasRoom = co_await reserve(HeldPart::SentCopy, m_call.body.size());
+    if (!hasRoom)
+        co_return SendOutcome::NotRun;
+    std::optional<HttpRequest> request = m_context.platform.forward(m_call, send);
 
     // An idempotent call without streaming does not wait for one slow server until its deadline if another one has
     // room.
     if (m_route->idempotent && !m_route->streaming)
         m_active->slowAt = m_sentAt + std::max(minSlowTime, m_route->targetLatency * slowServerLatencyFactor);
     connection.stream.expires_never();
-    auto [error, written] = co_await http::async_write(connection.stream, request, asTuple);
+    auto [error, written] = co_await http::async_write(connection.stream, *request, asTuple);
+    request.reset();
+    m_share.hold(HeldPart::SentCopy, 0);
     if (error) {
         recordBackendError("sending the request", error);
         co_return SendOutcome::Broken;
@@ -351,7 +358,17 @@
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
         auto [error, read] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
-        body.append(bytes.data(), bytes.size() - parser.get().body().size);
+        size_t count = bytes.size() - parser.get().body().size;
+        // A string that grows holds its bytes twice for a moment.
+        bool grows = body.size() + count > body.capacity();
+        bool hasRoom = true;
+        if (grows)
+            hasRoom = co_await reserve(HeldPart::Answer, 3 * body.capacity() + count);
+        if (!hasRoom)
+            co_return false;
+        body.append(bytes.data(), count);
+        if (grows)
+            m_share.hold(HeldPart::Answer, body.capacity());
         if (error && error != http::error::need_buffer) {
             recordBackendError("reading the response body", error);
             co_return false;
@@ -505,9 +522,10 @@
             response.keep_alive(false);
         }
         http::response_serializer<http::empty_body> serializer(response);
-        auto [error, written] = co_await http::async_write_header(m_caller, serializer, asTuple);
+        // A part of the head may be sent, so that only closing the connection can end the answer.
         m_headForwarded = true;
         m_active->responseStarted = true;
+        auto [error, written] = co_await http::async_write_header(m_caller, serializer, asTuple);
         if (error)
             co_return false;
         m_firstEventAt = m_context.now();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,6 +54,7 @@
           configHandlers())
     , m_hostFollower(m_context, m_health, LogName::BackendServers,
           { LogReadTiming(maxHostLongPoll), settings.hostReadPause(), settings.quietHostReadPause() }, hostHandlers())
+    , m_callerConnections("callers", settings.callerBudget(), m_context.log, m_context.metrics)
     , m_callers(io, m_context.log, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
     , m_readiness(io, m_context.log, [this](const HttpRequest& request) { return answerReadiness(request); })
     , m_entries(io, m_context.log, [this](const HttpRequest& request) { return answerEntries(request); })
@@ -120,6 +121,13 @@
 void Gateway::acceptCaller(asio::ip::tcp::socket socket)
 {
     auto session = std::make_shared<CallerSession>(m_context, std::move(socket));
+    auto share = m_callerConnections.admit([weak = session->weak_from_this()](Shortage shortage) {
+        if (auto open = weak.lock())
+            open->end(shortage);
+    });
+    if (!share)
+        return session->refuseAtOnce();
+    session->setShare(std::move(share));
     m_sessions.push_back(session);
     asio::co_spawn(m_context.io, session->run(), [this, session](const std::exception_ptr& exception) {
         logTaskFailure(m_context.log, "serving a caller's connection", exception);
@@ -234,6 +242,7 @@
                 m_context.balancer.backoffs().expire(m_context.now());
                 m_sessions.remove_if([](const auto& session) { return session.expired(); });
                 publishLoopMetrics();
+                publishClientMetrics();
                 publishEvacuations();
             }
         }
@@ -281,6 +290,8 @@
             toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i))));
 }
 
+void Gateway::publishClientMetrics() const { m_callerConnections.publishMetrics(); }
+
 // When the store, or a node that reads it for this one, last reported the newest version; nothing if neither has done
 // so.
 std::optional<MonotonicTime> Gateway::configConfirmedAt() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/callersession.h"
+#include "gateway/clientconnections.h"
 #include "gateway/context.h"
 #include "gateway/controllerloop.h"
 #include "gateway/lease.h"
@@ -69,6 +70,7 @@
     void refreshPeersInFlight();
     void detectLoopPause(MonotonicTime now);
     void publishLoopMetrics();
+    void publishClientMetrics() const;
     std::optional<MonotonicTime> configConfirmedAt() const;
     MonotonicTime::duration configAge() const;
     bool isConfigCurrent() const;
@@ -91,6 +93,7 @@
     ControllerLoop m_controller;
     LogFollower m_configFollower;
     LogFollower m_hostFollower;
+    ClientConnections m_callerConnections;
     GatewayListener m_callers;
     SimpleHttpServer m_readiness;
     SimpleHttpServer m_entries;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace Kumquatpick {
 
@@ -28,6 +30,23 @@
         return isShare ? std::optional(value) : std::nullopt;
     }
 
+    constexpr size_t bytesPerMegabyte = 1'000'000;
+    // For the program's files, its log and event loop. The platform keeps most of these apart for files.
+    constexpr uint64_t descriptorsForFiles = 256;
+
+    uint64_t hostMemoryMb()
+    {
+        auto pages = static_cast<uint64_t>(std::max(0L, sysconf(_SC_PHYS_PAGES)));
+        return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) / bytesPerMegabyte;
+    }
+
+    uint64_t allowedDescriptors()
+    {
+        rlimit limit {};
+        constexpr uint64_t usual = 1024; // If the system does not tell.
+        return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual;
+    }
+
     constexpr std::array<std::string_view, 2> trueOrFalse { "true", "false" };
 
     bool areAddresses(std::string_view list)
@@ -142,6 +161,58 @@
                         .unit = "requests",
                         .highest = 1000 },
                 } },
+            { "Clients",
+                {
+                    { .flag = "memory-mb",
+                        .into = &s.memoryMb,
+                        .help = "memory that this node may use; 0: all of the host's",
+                        .unit = "MB",
+                        .fraction = Fraction::RoundedDown },
+                    { .flag = "max-descriptors",
+                        .into = &s.maxDescriptors,
+                        .help = "descriptors that this node may open; 0: as many as the system allows",
+                        .unit = "descriptors",
+                        .fraction = Fraction::RoundedDown },
+                    { .flag = "caller-memory-mb",
+                        .into = &s.callerMemoryMb,
+                        .help = "memory that callers may make this node hold; 0: three eighths of memory-mb",
+                        .unit = "MB" },
+                    { .flag = "caller-connections",
+                        .into = &s.callerConnections,
+                        .help = "connections of callers; 0: three eighths of the descriptors for connections",
+                        .unit = "connections" },
+                    { .flag = "peer-memory-mb",
+                        .into = &s.peerMemoryMb,
+                        .help = "memory that clients of the peer address may make this node hold; 0: an eighth of "
+                                "memory-mb",
+                        .unit = "MB" },
+                    { .flag = "peer-connections",
+                        .into = &s.peerConnections,
+                        .help = "connections to the peer address; 0: an eighth of the descriptors for connections",
+                        .unit = "connections" },
+                    { .flag = "query-memory-mb",
+                        .into = &s.queryMemoryMb,
+                        .help = "memory for readiness checks, and as much again for requests for the list of nodes",
+                        .unit = "MB",
+                        .lowest = 1 },
+                    { .flag = "query-connections",
+                        .into = &s.queryConnections,
+                        .help = "connections for each of them; 0: a sixteenth of the descriptors for connections",
+                        .unit = "connections" },
+                    { .flag = "body-period-ms",
+                        .into = &s.bodyPeriod,
+                        .help = "time in which the body of a request has to grow at its lowest rate, again and again",
+                        .lowest = 100 },
+                    { .flag = "body-bytes-per-s",
+                        .into = &s.bodyBytesPerSecond,
+                        .help = "lowest rate at which the body of a request has to grow",
+                        .unit = "bytes",
+                        .lowest = 1 },
+                    { .flag = "answer-timeout-ms",
+                        .into = &s.answerTimeout,
+                        .help = "time for a caller to take an answer that has no deadline",
+                        .lowest = 100 },
+                } },
             { "Measurement",
                 {
                     { .flag = "without",
@@ -197,6 +268,37 @@
     return { std::strtod(warmupOverrun.c_str(), nullptr), static_cast<double>(warmupAllowance) };
 }
 
+namespace {
+
+    // Each value as it is set, or else a share of what the host has.
+    ClientBudget::Limits clientBudget(
+        const GatewaySettings& settings, uint64_t memoryMb, uint64_t connections, uint64_t eighths, uint64_t sixteenths)
+    {
+        uint64_t ofHost = settings.memoryMb > 0 ? settings.memoryMb : hostMemoryMb();
+        uint64_t descriptors = settings.maxDescriptors > 0 ? settings.maxDescriptors : allowedDescriptors();
+        uint64_t forConnections = descriptors - std::min(descriptors / 2, descriptorsForFiles);
+        uint64_t bytes = memoryMb > 0 ? memoryMb * bytesPerMegabyte : ofHost * bytesPerMegabyte * eighths / 8;
+        return { bytes, std::max<uint64_t>(1, connections > 0 ? connections : forConnections * sixteenths / 16) };
+    }
+
+}
+
+// A call takes a connection to a backend server, too: as many remain for those, and some for the store and for peers.
+ClientBudget::Limits GatewaySettings::callerBudget() const
+{
+    return clientBudget(*this, callerMemoryMb, callerConnections, 3, 6);
+}
+
+ClientBudget::Limits GatewaySettings::peerBudget() const
+{
+    return clientBudget(*this, peerMemoryMb, peerConnections, 1, 2);
+}
+
+ClientBudget::Limits GatewaySettings::queryBudget() const
+{
+    return clientBudget(*this, queryMemoryMb, queryConnections, 0, 1);
+}
+
 std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(
     std::span<const std::string> arguments, const Environment& environment)
 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -3,6 +3,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/settings.h"
+#include "fleet/clientbudget.h"
 #include "fleet/retryallowance.h"
 #include "fleet/warmuplimits.h"
 
@@ -40,6 +41,19 @@
     uint64_t retryAllowance = 100; // Additional retries of the whole fleet per window.
     uint64_t queuePerReplica = 2; // Calls that may queue at a replica beyond its slots and still meet their deadlines.
 
+    // What clients may make this node hold; 0 stands for a share of what the host has. See the budgets below.
+    uint64_t memoryMb = 0; // That this node may use; 0: all of the host's.
+    uint64_t maxDescriptors = 0; // That this node may open; 0: as many as the system allows.
+    uint64_t callerMemoryMb = 0;
+    uint64_t callerConnections = 0;
+    uint64_t peerMemoryMb = 0;
+    uint64_t peerConnections = 0;
+    uint64_t queryMemoryMb = 8; // For each of the addresses for readiness checks and for lists of nodes.
+    uint64_t queryConnections = 0; // For each of them.
+    Milliseconds bodyPeriod { 10'000 }; // In each of these, a body has to grow at its lowest rate.
+    uint64_t bodyBytesPerSecond = 1024; // The lowest rate.
+    Milliseconds answerTimeout { 10'000 }; // For a caller to take an answer that has no deadline.
+
     std::string disabledMechanisms; // Disabled mechanisms, by mechanismNames; used to measure their effect.
 
     // Between two reads of the list of backend servers, so that one read returns many records; and after a read that
@@ -55,6 +69,10 @@
     double cpuShareOrDefault() const;
     bool isCpuShareReadable() const;
     std::vector<Address> seedAddresses() const;
+    // Of each listener.
+    ClientBudget::Limits callerBudget() const;
+    ClientBudget::Limits peerBudget() const;
+    ClientBudget::Limits queryBudget() const;
 
     int logDescriptor = 1; // Standard output; tests use another descriptor.
 };
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -112,4 +112,30 @@
     RC_ASSERT(std::holds_alternative<GatewaySettings>(parseWith(flag, value)));
 }
 
+// What clients of all addresses may hold together leaves memory for the node itself, and a descriptor for each call to
+// a backend server.
+TEST(GatewaySettings, DividesTheHostAmongItsListeners)
+{
+    constexpr uint64_t megabyte = 1'000'000;
+    for (uint64_t memoryMb : { 160, 260, 1024 }) {
+        GatewaySettings settings = accepted("memory-mb", std::to_string(memoryMb));
+        settings.maxDescriptors = 4200;
+        auto callers = settings.callerBudget();
+        auto peers = settings.peerBudget();
+        auto queries = settings.queryBudget();
+        EXPECT_EQ(callers.bytes, memoryMb * megabyte * 3 / 8);
+        EXPECT_LE(callers.bytes + peers.bytes + 2 * queries.bytes, memoryMb * megabyte * 5 / 8);
+        EXPECT_LE(2 * callers.connections + peers.connections + 2 * queries.connections + 256, 4200u);
+    }
+}
+
+TEST(GatewaySettings, TakesClientLimitsAsSet)
+{
+    EXPECT_EQ(accepted("caller-memory-mb", "20").callerBudget().bytes, 20'000'000u);
+    EXPECT_EQ(accepted("caller-connections", "30").callerBudget().connections, 30u);
+    EXPECT_EQ(accepted("memory-mb", "160.9").memoryMb, 160u);
+    EXPECT_GT(GatewaySettings().callerBudget().bytes, 0u) << "of what this host has";
+    EXPECT_TRUE(std::holds_alternative<SettingsExit>(parseWith("body-bytes-per-s", "0")));
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -724,4 +724,14 @@
     EXPECT_TRUE(answer->get_header_value("Response-Seal").starts_with("seal-plain"));
 }
 
+// Guards against a body whose trailers add to the fields that decide on the request.
+TEST_F(GatewayTest, TakesNoKeyFromTrailers)
+{
+    startServing(0, 1);
+    std::string answer = exchangeRaw(m_node->callers(),
+        "POST /again/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: call-t\r\nDeadline-Ms: 4000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nKey: key-1\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 401")) << answer;
+}
+
 } // namespace Kumquatpick
