Bound what clients make a node hold where they ask for addresses, at readiness checks and at the peer address

What callers saw: the crowds that end a node at its address for callers end it at the three other addresses, too.

Cause: their server took bodies of 16 MiB on each address, read trailers without a limit, and counted no connections.

Change: the same reader and budgets, one for each listener, so that a crowd at one of them takes nothing from the others. Readiness checks and requests for the list of nodes have no body any more; peers still send up to 16 MiB. An answer that isn't taken counts as held.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
     // A longer pause of the event loop delays all responses too much. Each such pause is logged.
     constexpr Milliseconds longPause { 200 };
 
+    constexpr uint64_t maxQueryBytes = 0; // Readiness checks and requests for the list of nodes have no body.
+    constexpr uint64_t maxPeerRequestBytes = 16 << 20; // A peer may send a complete configuration.
     constexpr Milliseconds lastAnswersPoll { 10 };
     constexpr Milliseconds lastLogTime { 100 }; // For the reader of the log to take the last lines.
 
@@ -56,9 +58,12 @@
           { LogReadTiming(maxHostLongPoll), settings.hostReadPause(), settings.quietHostReadPause() }, hostHandlers())
     , m_callerConnections("callers", settings.callerBudget(), m_context.log, m_context.metrics)
     , m_callers(io, m_context.log, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
-    , m_readiness(io, m_context.log, [this](const HttpRequest& request) { return answerReadiness(request); })
-    , m_entries(io, m_context.log, [this](const HttpRequest& request) { return answerEntries(request); })
-    , m_peerServer(io, m_context.log, [this](const HttpRequest& request) { return answerPeer(request); })
+    , m_readiness(m_context, "readiness", settings.queryBudget(), maxQueryBytes,
+          [this](const HttpRequest& request) { return answerReadiness(request); })
+    , m_entries(m_context, "entries", settings.queryBudget(), maxQueryBytes,
+          [this](const HttpRequest& request) { return answerEntries(request); })
+    , m_peerServer(m_context, "peers", settings.peerBudget(), maxPeerRequestBytes,
+          [this](const HttpRequest& request) { return answerPeer(request); })
 {
     m_context.nodesReaching = [this](std::string_view service) { return m_peers.nodesReaching(service); };
     m_hostFollower.setReadFromPeer(
@@ -290,7 +295,13 @@
             toSeconds(m_context.loopTime.spent(static_cast<LoopPart>(i))));
 }
 
-void Gateway::publishClientMetrics() const { m_callerConnections.publishMetrics(); }
+void Gateway::publishClientMetrics() const
+{
+    m_callerConnections.publishMetrics();
+    m_readiness.publishMetrics();
+    m_entries.publishMetrics();
+    m_peerServer.publishMetrics();
+}
 
 // When the store, or a node that reads it for this one, last reported the newest version; nothing if neither has done
 // so.
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include "base/address.h"
+#include "gateway/clientconnections.h"
 #include "gateway/http.h"
 #include "gateway/platform.h"
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Kumquatpick {
 
 class EventLog;
+struct GatewayContext;
 
 // Accepts connections at one address and passes them to a handler.
 class GatewayListener {
@@ -36,15 +39,20 @@
 public:
     using Answer = std::function<asio::awaitable<HttpResponse>(const HttpRequest&)>;
 
-    SimpleHttpServer(asio::io_context&, EventLog&, Answer);
+    // The name is for logs and metrics.
+    SimpleHttpServer(GatewayContext&, std::string name, ClientBudget::Limits, uint64_t maxRequestBytes, Answer);
     Settled<uint16_t> start(const Address& address) { return m_listener.start(address); }
+    void publishMetrics() const { m_connections.publishMetrics(); }
 
 private:
-    asio::awaitable<void> serve(asio::ip::tcp::socket);
+    class Connection;
 
-    asio::io_context& m_io;
-    EventLog& m_log;
+    void accept(asio::ip::tcp::socket);
+
+    GatewayContext& m_context;
+    uint64_t m_maxRequestBytes;
     Answer m_answer;
+    ClientConnections m_connections;
     GatewayListener m_listener;
 };
 
