Keep no demand for models that don't exist

What callers saw: a caller that names another model in each request makes the node hold each name for good; it also sends them all to the other nodes in its messages.

Cause: a call that found no place counted as demand for the model it names, whether the configuration has it or not, and the table of demands is never emptied.

Change: only models of the call's service count.

--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -214,12 +214,16 @@
         && !m_context.disabledMechanisms.contains(Mechanism::FirstEventForecast);
 }
 
+bool CallForwarder::isModelKnown() const
+{
+    const ServiceSpec* service = m_routes->config().service(m_service);
+    return service && service->model(m_call.model);
+}
+
 std::string CallForwarder::chooseHostInTime(ChoiceRequest request, MonotonicTime now)
 {
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_arrived);
-    const ServiceSpec* service = m_routes->config().service(m_service);
-    bool isModelKnown = service && service->model(m_call.model);
-    bool isShared = m_team && isModelKnown && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
+    bool isShared = m_team && isModelKnown() && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
     TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
     std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
         shares && shares->isOverShare(m_team->name, now), m_isCallerRetry, refusesLateCalls,
@@ -327,7 +331,8 @@
         if (now >= until) {
             if (m_lastError.empty())
                 m_lastError = m_isRefusedByForecast ? "no replica answers in time" : "no replica has a free slot";
-            if (m_servesModels && m_possibleRuns == 0) {
+            // Callers may name any number of models that do not exist.
+            if (isModelKnown() && m_possibleRuns == 0) {
                 ++m_context.demand[m_call.model].refusedSinceTick;
                 m_context.metrics.count(
                     fmt::format("calls_without_place_total{{reason=\"{}\"}}", m_isRefusedByForecast ? "late" : "full"));
--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -57,6 +57,7 @@
     MonotonicTime hostWaitDeadline() const;
     std::string chooseHost(MonotonicTime now, std::span<const std::string> excluded, bool hasStarted);
     bool isForecastUsed(bool hasStarted) const;
+    bool isModelKnown() const;
     std::string chooseHostInTime(ChoiceRequest, MonotonicTime now);
     bool reserveOtherServer();
     void releaseReservation();
