Bound in sum what callers make a daemon hold

What callers saw: 60 callers whose bodies of 4 MiB stop just short of their end take 357 MB of a daemon, and 900 idle ones take 913 descriptors.

Cause: as at a node of the platform, the limits held for one request. Further, the allocator kept freed bodies in the heap of each thread.

Change: the daemon's connections have the same budget (memory for what was read of the request, three times, as it is parsed and copied; connections), and the one that holds most for longest is shut down. The daemon is told its memory and descriptors by new settings, with the shares that the node uses.

--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -16,6 +16,9 @@
 namespace {
 
     constexpr size_t readBufferBytes = 16 * 1024;
+    // The library's string grows to twice what has arrived, and the request is decoded and copied to be sent.
+    constexpr size_t heldPerByte = 3;
+    constexpr size_t reserveStep = 64 * 1024; // Taken ahead, as each reservation takes a lock.
 
     thread_local CallerConnection* currentConnection = nullptr;
 
@@ -66,15 +69,38 @@
 
 std::string_view RequestLine::path() const { return std::string_view(target).substr(0, target.find('?')); }
 
-CallerConnection::CallerConnection(int socket, const CallerSettings& settings)
+CallerConnection::CallerConnection(int socket, const CallerSettings& settings, ConnectionLimits& limits)
     : m_socket(socket)
+    , m_limits(limits)
+    , m_id(limits.admit(socket))
     , m_settings(settings)
 {
     int on = 1;
     setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-CallerConnection::~CallerConnection() { ::close(m_socket); }
+CallerConnection::~CallerConnection()
+{
+    if (m_id)
+        m_limits.remove(*m_id);
+    ::close(m_socket);
+}
+
+void CallerConnection::enter(ClientStage stage)
+{
+    if (m_id)
+        m_limits.enter(*m_id, stage);
+}
+
+// Makes room for what was read of the request. Returns false if the connection has to end.
+bool CallerConnection::reserveForRequest()
+{
+    size_t bytes = readBufferBytes + heldPerByte * m_bytesRead;
+    if (!m_id || bytes <= m_reserved)
+        return m_id.has_value();
+    m_reserved = bytes + reserveStep;
+    return m_limits.reserve(*m_id, m_reserved, m_readDeadline);
+}
 
 CallerConnection* CallerConnection::forCurrentThread() { return currentConnection; }
 
@@ -91,6 +117,8 @@
     m_bodyHasLength = true;
     m_isOverLimit = false;
     m_bytesWritten = 0;
+    m_reserved = 0;
+    enter(ClientStage::Receiving);
 }
 
 void CallerConnection::processHead(httplib::Request& request)
@@ -206,6 +234,8 @@
     std::copy_n(m_buffer.data() + m_position, count, target);
     m_position += count;
     m_bytesRead += count;
+    if (!reserveForRequest())
+        return -1;
     return static_cast<ssize_t>(count);
 }
 
--- a/src/caller/connection.h
+++ b/src/caller/connection.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "caller/connectionlimits.h"
 #include "caller/settings.h"
 #include <httplib.h>
 
 #include <atomic>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +27,8 @@
 // Used by one thread at a time.
 class CallerConnection : public httplib::Stream {
 public:
-    CallerConnection(int socket, const CallerSettings&);
+    // Registers itself with the limits.
+    CallerConnection(int socket, const CallerSettings&, ConnectionLimits&);
     ~CallerConnection() override;
     CallerConnection(const CallerConnection&) = delete;
     CallerConnection& operator=(const CallerConnection&) = delete;
@@ -33,6 +36,10 @@
     // The connection whose request this thread is serving, or nullptr.
     static CallerConnection* forCurrentThread();
 
+    // Whether there was a place for it. Without one, it may only be refused.
+    bool isAdmitted() const { return m_id.has_value(); }
+    void enter(ClientStage);
+
     // Starts the read timeout and resets the byte counts for the next request.
     void beginRequest();
     // Called once the head is read. Applies the body limit to the bytes that follow and changes the request so that
@@ -71,7 +78,12 @@
     bool waitFor(short events, MonotonicTime until) const;
     void checkFraming(httplib::Request&);
 
+    bool reserveForRequest();
+
     int m_socket;
+    ConnectionLimits& m_limits;
+    std::optional<ConnectionLimits::Id> m_id;
+    size_t m_reserved = 0;
     const CallerSettings& m_settings;
     std::string m_buffer;
     size_t m_position = 0;
--- a/src/caller/httpserver.cpp
+++ b/src/caller/httpserver.cpp
@@ -19,12 +19,13 @@
 
 }
 
-HttpServer::HttpServer(const CallerSettings& settings, Handle handle, HandleError handleError, std::string busyAnswer)
+HttpServer::HttpServer(const CallerSettings& settings, ConnectionLimits& limits, Handle handle, HandleError handleError,
+    std::string busyAnswer)
     : m_settings(settings)
     , m_handle(std::move(handle))
     , m_handleError(std::move(handleError))
     , m_listener(
-          settings, [this](auto connection) { return enqueue(std::move(connection)); }, std::move(busyAnswer))
+          settings, limits, [this](auto connection) { return enqueue(std::move(connection)); }, std::move(busyAnswer))
 {
     m_waiting.set_capacity(static_cast<std::ptrdiff_t>(2 * settings.threads));
     set_keep_alive_max_count(requestsPerConnection);
@@ -39,7 +40,9 @@
 void HttpServer::setUpRoutes()
 {
     auto handle = [this](const httplib::Request& request, httplib::Response& response) {
-        m_handle(request, CallerConnection::forCurrentThread()->line(), response);
+        CallerConnection& connection = *CallerConnection::forCurrentThread();
+        connection.enter(ClientStage::Running);
+        m_handle(request, connection.line(), response);
     };
     Get("/", handle);
     Post("/", handle);
--- a/src/caller/httpserver.h
+++ b/src/caller/httpserver.h
@@ -24,7 +24,7 @@
     // Writes the error body for an error reported by the library or a limit. The response's status is already set.
     using HandleError = std::function<void(const httplib::Request&, httplib::Response&)>;
 
-    HttpServer(const CallerSettings&, Handle, HandleError, std::string busyAnswer);
+    HttpServer(const CallerSettings&, ConnectionLimits&, Handle, HandleError, std::string busyAnswer);
     ~HttpServer() override;
 
     Result<void> start();
--- a/src/caller/listener.cpp
+++ b/src/caller/listener.cpp
@@ -17,7 +17,6 @@
 namespace {
 
     constexpr int backlog = 1024;
-    constexpr size_t watchedLimit = 8192;
     constexpr Milliseconds pollInterval { 100 };
     constexpr Milliseconds lingerTimeout { 1'000 };
     // Without a free descriptor accept() fails at once, so the loop would use a full core without this pause.
@@ -67,8 +66,9 @@
 
 }
 
-Listener::Listener(const CallerSettings& settings, Serve serve, std::string busyAnswer)
+Listener::Listener(const CallerSettings& settings, ConnectionLimits& limits, Serve serve, std::string busyAnswer)
     : m_settings(settings)
+    , m_limits(limits)
     , m_serve(std::move(serve))
     , m_busyAnswer(std::move(busyAnswer))
 {
@@ -147,7 +147,11 @@
             std::this_thread::sleep_for(acceptPause);
         return;
     }
-    watchIdle(std::make_unique<CallerConnection>(socket, m_settings));
+    auto connection = std::make_unique<CallerConnection>(socket, m_settings, m_limits);
+    if (connection->isAdmitted())
+        watchIdle(std::move(connection));
+    else
+        connection->writeNonBlocking(m_busyAnswer);
 }
 
 void Listener::onReadable(int socket)
@@ -186,11 +190,13 @@
 
 void Listener::watchIdle(std::unique_ptr<CallerConnection> connection)
 {
+    connection->enter(ClientStage::Idle);
     watch(std::move(connection), m_settings.keepAlive, false);
 }
 
 void Listener::closeLingering(std::unique_ptr<CallerConnection> connection)
 {
+    connection->enter(ClientStage::Closing);
     connection->shutdownWriting();
     watch(std::move(connection), lingerTimeout, true);
 }
@@ -199,7 +205,7 @@
 {
     int socket = connection->socket();
     std::lock_guard lock(m_mutex);
-    if (m_stopping || m_watched.size() >= watchedLimit)
+    if (m_stopping)
         return;
     m_watched[socket] = { std::move(connection), monotonicNow() + atMost, closing };
     addToEpoll(m_epoll, socket, EPOLLIN | EPOLLRDHUP);
--- a/src/caller/listener.h
+++ b/src/caller/listener.h
@@ -20,7 +20,7 @@
     using Serve = std::function<std::unique_ptr<CallerConnection>(std::unique_ptr<CallerConnection>)>;
 
     // busyAnswer is the response that is sent if every thread is busy.
-    Listener(const CallerSettings&, Serve, std::string busyAnswer);
+    Listener(const CallerSettings&, ConnectionLimits&, Serve, std::string busyAnswer);
     ~Listener();
 
     // Fails with InvalidArgument if the address can't be bound.
@@ -52,6 +52,7 @@
     bool discardInput(int socket);
 
     const CallerSettings& m_settings;
+    ConnectionLimits& m_limits;
     Serve m_serve;
     std::string m_busyAnswer;
     int m_socket = -1;
--- a/src/caller/server.cpp
+++ b/src/caller/server.cpp
@@ -1,5 +1,6 @@
 #include "caller/server.h"
 
+#include "caller/connectionlimits.h"
 #include "caller/endpoints.h"
 #include "caller/httpserver.h"
 #include "caller/requesthandler.h"
@@ -60,8 +61,9 @@
         , dependencies(std::move(callerDependencies))
         , context { this->settings, dependencies, { this->settings.answerStoreBytes, this->settings.answerLifetime },
             {}, RecentRequests(this->settings.recentRequestLimit) }
+        , limits(this->settings.clients, dependencies.metrics)
         , http(
-              this->settings,
+              this->settings, limits,
               [this](const httplib::Request& request, const RequestLine& line, httplib::Response& response) {
                   handle(request, line, response);
               },
@@ -77,6 +79,7 @@
     const CallerSettings settings;
     CallerDependencies dependencies;
     ServerContext context;
+    ConnectionLimits limits;
     HttpServer http;
 };
 
--- a/src/caller/settings.h
+++ b/src/caller/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/clientbudget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,6 +19,8 @@
     size_t bodyLimitBytes = 8 * 1024 * 1024;
     Milliseconds requestReadTimeout { 10'000 }; // Limit for receiving a whole request, head and body.
     Milliseconds stallTimeout { 10'000 }; // Limit for a caller that accepts no bytes of its answer.
+    // What all connections may hold together.
+    ClientBudget::Limits clients { 256 * 1024 * 1024, 8192 };
     Milliseconds keepAlive { 5'000 }; // How long an idle connection is kept open.
 
     Milliseconds defaultDeadline { 60'000 };
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "daemon/publisher.h"
 #include "daemon/statusreport.h"
+#include "fleet/hostlimits.h"
 
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -58,6 +59,11 @@
         result.port = settings.callerListen.port;
         result.threads = settings.callerThreads;
         result.bodyLimitBytes = settings.maxBodyBytes;
+        result.clients = clientLimits({ settings.memoryMb, settings.maxDescriptors },
+            { .memoryMb = settings.callerMemoryMb,
+                .connections = settings.callerConnections,
+                .memoryEighths = 3,
+                .connectionSixteenths = 6 });
         result.requestReadTimeout = settings.readTimeout;
         result.answerLifetime = settings.answerRetention;
         result.answerStoreBytes = settings.answerBytes;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -1,5 +1,6 @@
 #include "gateway/settings.h"
 
+#include "fleet/hostlimits.h"
 #include "fleet/mechanism.h"
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 namespace Kumquatpick {
 
@@ -30,23 +29,6 @@
         return isShare ? std::optional(value) : std::nullopt;
     }
 
-    constexpr size_t bytesPerMegabyte = 1'000'000;
-    // For the program's files, its log and event loop. The platform keeps most of these apart for files.
-    constexpr uint64_t descriptorsForFiles = 256;
-
-    uint64_t hostMemoryMb()
-    {
-        auto pages = static_cast<uint64_t>(std::max(0L, sysconf(_SC_PHYS_PAGES)));
-        return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) / bytesPerMegabyte;
-    }
-
-    uint64_t allowedDescriptors()
-    {
-        rlimit limit {};
-        constexpr uint64_t usual = 1024; // If the system does not tell.
-        return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual;
-    }
-
     constexpr std::array<std::string_view, 2> trueOrFalse { "true", "false" };
 
     bool areAddresses(std::string_view list)
@@ -268,35 +250,20 @@
     return { std::strtod(warmupOverrun.c_str(), nullptr), static_cast<double>(warmupAllowance) };
 }
 
-namespace {
-
-    // Each value as it is set, or else a share of what the host has.
-    ClientBudget::Limits clientBudget(
-        const GatewaySettings& settings, uint64_t memoryMb, uint64_t connections, uint64_t eighths, uint64_t sixteenths)
-    {
-        uint64_t ofHost = settings.memoryMb > 0 ? settings.memoryMb : hostMemoryMb();
-        uint64_t descriptors = settings.maxDescriptors > 0 ? settings.maxDescriptors : allowedDescriptors();
-        uint64_t forConnections = descriptors - std::min(descriptors / 2, descriptorsForFiles);
-        uint64_t bytes = memoryMb > 0 ? memoryMb * bytesPerMegabyte : ofHost * bytesPerMegabyte * eighths / 8;
-        return { bytes, std::max<uint64_t>(1, connections > 0 ? connections : forConnections * sixteenths / 16) };
-    }
-
-}
-
 // A call takes a connection to a backend server, too: as many remain for those, and some for the store and for peers.
 ClientBudget::Limits GatewaySettings::callerBudget() const
 {
-    return clientBudget(*this, callerMemoryMb, callerConnections, 3, 6);
+    return clientLimits({ memoryMb, maxDescriptors }, { callerMemoryMb, callerConnections, 3, 6 });
 }
 
 ClientBudget::Limits GatewaySettings::peerBudget() const
 {
-    return clientBudget(*this, peerMemoryMb, peerConnections, 1, 2);
+    return clientLimits({ memoryMb, maxDescriptors }, { peerMemoryMb, peerConnections, 1, 2 });
 }
 
 ClientBudget::Limits GatewaySettings::queryBudget() const
 {
-    return clientBudget(*this, queryMemoryMb, queryConnections, 0, 1);
+    return clientLimits({ memoryMb, maxDescriptors }, { queryMemoryMb, queryConnections, 0, 1 });
 }
 
 std::variant<GatewaySettings, SettingsExit> parseGatewaySettings(
--- a/src/main/kumquatpickd.cpp
+++ b/src/main/kumquatpickd.cpp
@@ -1,3 +1,4 @@
+#include "base/allocator.h"
 #include "base/logline.h"
 #include "daemon/daemon.h"
 
@@ -26,6 +27,8 @@
 
 int runDaemon(const DaemonSettings& settings)
 {
+    constexpr size_t largeBytes = 128 * 1024; // Each of the many threads has a heap of its own.
+    returnLargeBlocks(largeBytes);
     sigset_t signals = blockSignals();
     setLogLevel(settings.logLevel);
     auto started = settle([&] { return Daemon::start(settings); });
--- a/src/operator/daemonsettings.h
+++ b/src/operator/daemonsettings.h
@@ -33,6 +33,10 @@
     uint64_t callerThreads = 512;
     uint64_t backendThreads = 512;
     uint64_t maxBodyBytes = 1024 * 1024;
+    uint64_t memoryMb = 0; // That the daemon may use; 0: all of the host's.
+    uint64_t maxDescriptors = 0; // That it may open; 0: as many as the system allows.
+    uint64_t callerMemoryMb = 0; // For all callers' connections; 0: a share of memoryMb.
+    uint64_t callerConnections = 0; // 0: a share of maxDescriptors.
     Milliseconds readTimeout { 30'000 };
 
     Milliseconds probePeriod { 1000 };
