Give room to the client that made it, and end readers for certain

What callers saw, in a trial beside a crowd that comes back whenever it is ended: callers with small bodies waited for seconds, and their time-outs ran out.

Cause: the room that a client had made was free for anybody until that client looked again, so the crowd took it. And a connection that was told to end while its read had just completed went on reading, as there was nothing to cancel; the others waited for its memory.

Change: room is taken when it is made, and counts as given once the connections that were leaving by then have released theirs. A reader looks whether its connection has to end before each read, and reads are cancelled until it has.

A case for the order of release is in fleet_test; the crowd that comes back is no test yet.

--- a/src/caller/connectionlimits.cpp
+++ b/src/caller/connectionlimits.cpp
@@ -52,28 +52,31 @@
     std::lock_guard lock(m_mutex);
     if (m_budget.at(id).stage != stage)
         m_budget.setStage(id, stage, monotonicNow());
+    m_released.notify_all();
 }
 
 bool ConnectionLimits::reserve(Id id, size_t bytes, MonotonicTime deadline)
 {
     std::unique_lock lock(m_mutex);
-    for (;;) {
-        const ClientBudget::Connection& connection = m_budget.at(id);
-        size_t more = bytes > connection.bytes ? bytes - connection.bytes : 0;
-        if (more == 0 || m_budget.fits(more)) {
-            m_budget.setBytes(id, bytes);
-            m_released.notify_all();
-            return true;
-        }
-        while (!connection.isLeaving && !m_budget.willFit(more)) {
-            auto worst = m_budget.endForBytes(monotonicNow());
-            if (!worst)
-                return false;
-            end(*worst, "memory");
-        }
-        if (connection.isLeaving || m_released.wait_until(lock, deadline) == std::cv_status::timeout)
+    const ClientBudget::Connection& connection = m_budget.at(id);
+    size_t before = connection.bytes;
+    size_t more = bytes > before ? bytes - before : 0;
+    while (!connection.isLeaving && more > 0 && !m_budget.willFit(more)) {
+        auto worst = m_budget.endForBytes(monotonicNow());
+        if (!worst)
             return false;
+        end(*worst, "memory");
     }
+    if (connection.isLeaving)
+        return false;
+    bool fits = m_budget.fits(more);
+    m_budget.setBytes(id, bytes);
+    uint64_t point = fits ? 0 : m_budget.releasePoint();
+    m_released.wait_until(lock, deadline, [&] { return m_budget.hasReleased(point) || connection.isLeaving; });
+    if (m_budget.hasReleased(point) && !connection.isLeaving)
+        return true;
+    m_budget.setBytes(id, before);
+    return false;
 }
 
 void ConnectionLimits::end(Id id, std::string_view shortage)
@@ -82,6 +85,7 @@
     m_metrics.count(fmt::format("clients_ended_total{{shortage=\"{}\"}}", shortage));
     logEnd(connection, shortage);
     ::shutdown(m_sockets.at(id), SHUT_RDWR);
+    m_released.notify_all(); // It may wait for room itself.
 }
 
 void ConnectionLimits::logEnd(const ClientBudget::Connection& connection, std::string_view shortage)
--- a/src/fleet/clientbudget.cpp
+++ b/src/fleet/clientbudget.cpp
@@ -37,7 +37,7 @@
     delist(id);
     // What is left of a connection that was told to end may have to be ended once more.
     if (stage == ClientStage::Closing && std::exchange(connection.isLeaving, false))
-        m_leavingBytes -= connection.bytes;
+        releaseLeaving(connection.bytes);
     connection.stage = stage;
     if (stage != ClientStage::Running && stage != ClientStage::Answering)
         connection.since = now;
@@ -51,7 +51,9 @@
     if (changesOrder)
         delist(id);
     m_bytes += bytes - connection.bytes;
-    if (connection.isLeaving)
+    if (connection.isLeaving && bytes < connection.bytes)
+        releaseLeaving(connection.bytes - bytes);
+    else if (connection.isLeaving)
         m_leavingBytes += bytes - connection.bytes;
     connection.bytes = bytes;
     if (changesOrder)
@@ -120,6 +122,12 @@
     return worst;
 }
 
+void ClientBudget::releaseLeaving(size_t bytes)
+{
+    m_leavingBytes -= bytes;
+    m_releasedBytes += bytes;
+}
+
 void ClientBudget::markLeaving(Id id)
 {
     delist(id);
--- a/src/fleet/clientbudget.h
+++ b/src/fleet/clientbudget.h
@@ -62,6 +62,10 @@
     // Whether so many more bytes fit now, or once those that are leaving have gone.
     bool fits(size_t bytes) const { return m_bytes + bytes <= m_limits.bytes; }
     bool willFit(size_t bytes) const { return m_bytes - m_leavingBytes + bytes <= m_limits.bytes; }
+    // Whoever takes memory that is still being left has to wait until the count of released bytes has come this far;
+    // those that take some later wait longer.
+    uint64_t releasePoint() const { return m_releasedBytes + m_leavingBytes; }
+    bool hasReleased(uint64_t point) const { return m_releasedBytes >= point; }
     bool fitsConnection() const { return m_descriptors < m_limits.connections; }
 
     // Choose the connection to end for more memory or another connection, and count it as leaving. Nothing if none may
@@ -86,6 +90,7 @@
     void compareOldest(
         const std::array<Bucket, orders>&, double weight, MonotonicTime now, std::optional<Id>&, double& highest) const;
     void markLeaving(Id);
+    void releaseLeaving(size_t bytes);
 
     Limits m_limits;
     Id m_nextId = 1;
@@ -94,6 +99,7 @@
     std::array<Bucket, orders> m_others;
     size_t m_bytes = 0;
     size_t m_leavingBytes = 0;
+    uint64_t m_releasedBytes = 0; // By connections that were leaving, since the start.
     size_t m_descriptors = 0;
 };
 
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -24,6 +24,7 @@
     constexpr Milliseconds disconnectPollPeriod { 50 };
     // Larger buffers are given back while a connection is idle.
     constexpr size_t maxIdleBufferBytes = 8 * 1024;
+    constexpr Milliseconds readCancelPeriod { 5 };
     // What one connection had to give up is soon used by others.
     constexpr Milliseconds retryAfterEviction { 1000 };
 
@@ -97,7 +98,20 @@
     if (m_call)
         return m_call->cancel(CancelReason::MemoryShort);
     m_isEvicted = true;
-    m_stream.socket().cancel(ignored);
+    asio::co_spawn(
+        m_stream.get_executor(), stopReading(), [self = shared_from_this()](const std::exception_ptr& exception) {
+            logTaskFailure(self->m_context.log, "ending a caller's connection", exception);
+        });
+}
+
+// A read that has just completed cannot be cancelled, and the next one begins at once.
+asio::awaitable<void> CallerSession::stopReading()
+{
+    while (m_share->isLeaving() && m_stream.socket().is_open()) {
+        beast::error_code ignored; // Nothing is pending then.
+        m_stream.socket().cancel(ignored);
+        co_await sleepFor(readCancelPeriod);
+    }
 }
 
 asio::awaitable<void> CallerSession::run()
@@ -172,6 +186,7 @@
 asio::awaitable<void> CallerSession::refuseUnread(const beast::error_code& error)
 {
     bool isShortOfMemory = m_isEvicted || error == asio::error::no_buffer_space;
+    m_share->enter(ClientStage::Closing); // Nothing is read any more that could be cancelled.
     bool isCallerGone = error == http::error::end_of_stream || error == asio::error::connection_reset || m_isClosed;
     if (isShortOfMemory && !m_isClosed)
         co_await refuse(http::status::service_unavailable, "memory is short", retryAfterEviction);
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -40,6 +40,7 @@
     asio::awaitable<bool> forward(Call);
     asio::awaitable<void> watchForDisconnect(std::shared_ptr<ActiveCall>);
     void countUnreadBytes();
+    asio::awaitable<void> stopReading();
     asio::awaitable<void> refuseUnread(const beast::error_code&);
     asio::awaitable<void> refuse(http::status, std::string_view reason, std::optional<Milliseconds> retryAfter = {});
     asio::awaitable<void> closeAfterLinger();
--- a/src/gateway/clientconnections.cpp
+++ b/src/gateway/clientconnections.cpp
@@ -13,16 +13,16 @@
 
     // The session, its coroutines, its timers and the structures of the system's socket.
     constexpr size_t connectionBytes = 12 * 1024;
-    // Connections that end give their memory back within a turn of the event loop, or when their server has let go.
-    constexpr Milliseconds roomPollPeriod { 5 };
 
 }
 
-ClientConnections::ClientConnections(std::string listener, ClientBudget::Limits limits, EventLog& log, Metrics& metrics)
+ClientConnections::ClientConnections(
+    asio::io_context& io, std::string listener, ClientBudget::Limits limits, EventLog& log, Metrics& metrics)
     : m_listener(std::move(listener))
     , m_budget(limits)
     , m_log(log)
     , m_metrics(metrics)
+    , m_released(io, MonotonicTime::max())
 {
 }
 
@@ -51,13 +51,22 @@
             return false;
         end(*worst, Shortage::Memory);
     }
-    return m_budget.fits(bytes);
+    return true;
+}
+
+void ClientConnections::setBytes(ClientBudget::Id id, size_t bytes)
+{
+    bool releases = m_budget.at(id).isLeaving && bytes < m_budget.at(id).bytes;
+    m_budget.setBytes(id, bytes);
+    if (releases)
+        m_released.cancel();
 }
 
 void ClientConnections::end(ClientBudget::Id id, Shortage shortage)
 {
     logEnd(id, shortage);
     m_ends.at(id)(shortage);
+    m_released.cancel(); // It may wait for room itself.
     if (shortage == Shortage::Descriptors)
         m_budget.releaseDescriptor(id);
 }
@@ -89,6 +98,7 @@
 
 ClientShare::~ClientShare()
 {
+    m_owner.setBytes(m_id, 0);
     m_owner.m_budget.remove(m_id);
     m_owner.m_ends.erase(m_id);
 }
@@ -97,6 +107,8 @@
 {
     if (stage != this->stage())
         m_owner.m_budget.setStage(m_id, stage, monotonicNow());
+    if (stage == ClientStage::Closing)
+        m_owner.m_released.cancel(); // It no longer counts as leaving.
 }
 
 void ClientShare::hold(HeldPart part, size_t bytes)
@@ -106,7 +118,7 @@
         return;
     m_total += bytes - held;
     held = bytes;
-    m_owner.m_budget.setBytes(m_id, m_total);
+    m_owner.setBytes(m_id, m_total);
 }
 
 bool ClientShare::tryReserve(HeldPart part, size_t bytes)
@@ -120,19 +132,23 @@
 
 asio::awaitable<bool> ClientShare::reserve(HeldPart part, size_t bytes)
 {
-    while (!tryReserve(part, bytes)) {
-        size_t more = bytes - m_parts[static_cast<size_t>(part)];
-        bool canFit = more <= m_owner.m_budget.limits().bytes && !m_owner.m_budget.at(m_id).isLeaving;
-        if (!canFit)
-            co_return false;
-        bool fits = m_owner.makeRoom(more);
-        bool mayFit = m_owner.m_budget.willFit(more) && !m_owner.m_budget.at(m_id).isLeaving;
-        if (!mayFit)
-            co_return false;
-        if (!fits)
-            co_await sleepFor(roomPollPeriod);
-    }
-    co_return true;
+    if (tryReserve(part, bytes))
+        co_return true;
+    size_t before = m_parts[static_cast<size_t>(part)];
+    const ClientBudget& budget = m_owner.m_budget;
+    bool isPossible = bytes - before <= budget.limits().bytes && !isLeaving();
+    if (isPossible)
+        isPossible = m_owner.makeRoom(bytes - before);
+    if (!isPossible || isLeaving())
+        co_return false;
+    hold(part, bytes);
+    uint64_t point = budget.releasePoint();
+    while (!budget.hasReleased(point) && !isLeaving())
+        co_await m_owner.m_released.async_wait(asTuple);
+    if (!isLeaving())
+        co_return true;
+    hold(part, before);
+    co_return false;
 }
 
 void ClientShare::releaseDescriptor() { m_owner.m_budget.releaseDescriptor(m_id); }
--- a/src/gateway/clientconnections.h
+++ b/src/gateway/clientconnections.h
@@ -4,6 +4,7 @@
 #include "gateway/http.h"
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,7 +33,7 @@
     using End = std::function<void(Shortage)>;
 
     // The name of the listener is for logs and metrics.
-    ClientConnections(std::string listener, ClientBudget::Limits, EventLog&, Metrics&);
+    ClientConnections(asio::io_context&, std::string listener, ClientBudget::Limits, EventLog&, Metrics&);
 
     // Registers a connection, for which it may end another one; nullptr if there is no place. end: tells the connection
     // to end; not called before this function has returned.
@@ -42,8 +43,9 @@
 private:
     friend class ClientShare;
 
-    // Tells connections to end until so many bytes fit. Returns whether they fit already.
+    // Tells connections to end until so many bytes will fit; false if they cannot.
     bool makeRoom(size_t bytes);
+    void setBytes(ClientBudget::Id, size_t bytes);
     void end(ClientBudget::Id, Shortage);
     void logEnd(ClientBudget::Id, Shortage);
 
@@ -52,6 +54,7 @@
     EventLog& m_log;
     Metrics& m_metrics;
     std::map<ClientBudget::Id, End> m_ends;
+    asio::steady_timer m_released; // Never expires; cancelled when a connection that leaves has released memory.
 };
 
 // What a connection may hold memory for.
@@ -77,14 +80,16 @@
     void enter(ClientStage);
     // Records memory that is held already, or is no longer.
     void hold(HeldPart, size_t bytes);
-    // Before memory is taken: makes room for the new size of the part and records it. Waits for the connections that
-    // end for it. Returns false if this connection has to end instead.
+    // Before memory is taken: makes room for the new size of the part and records it, so that nobody else takes the
+    // room. Waits for the connections that end for it. Returns false if this connection has to end instead.
     asio::awaitable<bool> reserve(HeldPart, size_t bytes);
     // Records the new size if there is room for it without ending a connection.
     bool tryReserve(HeldPart, size_t bytes);
     // The socket was closed.
     void releaseDescriptor();
     ClientStage stage() const { return m_owner.m_budget.at(m_id).stage; }
+    // The connection was told to end, and has not sent its last answer yet.
+    bool isLeaving() const { return m_owner.m_budget.at(m_id).isLeaving; }
 
 private:
     ClientConnections& m_owner;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,7 +56,7 @@
           configHandlers())
     , m_hostFollower(m_context, m_health, LogName::BackendServers,
           { LogReadTiming(maxHostLongPoll), settings.hostReadPause(), settings.quietHostReadPause() }, hostHandlers())
-    , m_callerConnections("callers", settings.callerBudget(), m_context.log, m_context.metrics)
+    , m_callerConnections(io, "callers", settings.callerBudget(), m_context.log, m_context.metrics)
     , m_callers(io, m_context.log, [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); })
     , m_readiness(m_context, "readiness", settings.queryBudget(), maxQueryBytes,
           [this](const HttpRequest& request) { return answerReadiness(request); })
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -129,7 +129,7 @@
     : m_context(context)
     , m_maxRequestBytes(maxRequestBytes)
     , m_answer(std::move(answer))
-    , m_connections(std::move(name), limits, context.log, context.metrics)
+    , m_connections(context.io, std::move(name), limits, context.log, context.metrics)
     , m_listener(context.io, context.log, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); })
 {
 }
--- a/src/gateway/requestreader.cpp
+++ b/src/gateway/requestreader.cpp
@@ -125,6 +125,8 @@
             co_return resultOf(error);
     }
     while (!m_parser.is_done()) {
+        if (m_share.isLeaving())
+            co_return asio::error::no_buffer_space;
         if (m_received == m_body.size()) {
             beast::error_code problem = co_await growBody();
             if (problem)
--- a/tests/fleet/clientbudget_test.cpp
+++ b/tests/fleet/clientbudget_test.cpp
@@ -114,6 +114,29 @@
     EXPECT_EQ(budget.endForConnection(start + 1s), id) << "the refused client that still lingers";
 }
 
+// Whoever has made room gets it before those that ask later.
+TEST(ClientBudget, ReleasesRoomInTheOrderInWhichItWasTaken)
+{
+    ClientBudget budget({ 100 * kibibyte, 10 });
+    auto first = addWith(budget, 60 * kibibyte, ClientStage::Receiving, start);
+    auto second = addWith(budget, 40 * kibibyte, ClientStage::Receiving, start);
+    auto early = addWith(budget, 0, ClientStage::Receiving, start + 1s);
+    auto late = addWith(budget, 0, ClientStage::Receiving, start + 1s);
+    EXPECT_EQ(budget.endForBytes(start + 2s), first);
+    budget.setBytes(early, 60 * kibibyte);
+    uint64_t earlyPoint = budget.releasePoint();
+    EXPECT_FALSE(budget.willFit(kibibyte)) << "the room of the first one is taken";
+    EXPECT_EQ(budget.endForBytes(start + 2s), second);
+    budget.setBytes(late, 40 * kibibyte);
+    uint64_t latePoint = budget.releasePoint();
+    EXPECT_FALSE(budget.hasReleased(earlyPoint));
+    budget.remove(first);
+    EXPECT_TRUE(budget.hasReleased(earlyPoint));
+    EXPECT_FALSE(budget.hasReleased(latePoint));
+    budget.remove(second);
+    EXPECT_TRUE(budget.hasReleased(latePoint));
+}
+
 RC_GTEST_PROP(ClientBudgetProperties, CountsWhatItsConnectionsHold, ())
 {
     ClientBudget budget({ 1000 * kibibyte, 16 });
