--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -104,7 +104,7 @@
         });
 }
 
-// A read that has just completed cannot be cancelled, and the next one begins at once.
+// Until the refusal is written: a read that has just completed cannot be cancelled, and the next one begins at once.
 asio::awaitable<void> CallerSession::stopReading()
 {
     while (m_share->isLeaving() && m_stream.socket().is_open()) {
@@ -126,6 +126,7 @@
         keep = call.has_value();
         if (keep)
             keep = co_await forward(std::move(*call));
+        keep = keep && !m_share->isLeaving();
         m_share->hold(HeldPart::Unread, 0);
         m_isIdle = keep && m_buffer.size() == 0;
         if (m_isIdle)
@@ -172,6 +173,9 @@
 asio::awaitable<std::optional<Call>> CallerSession::readRequest()
 {
     auto received = co_await receive();
+    // Its last bytes may have come just before it was told to end.
+    if (m_share->isLeaving())
+        received = beast::error_code(asio::error::no_buffer_space);
     if (auto* call = std::get_if<Call>(&received))
         co_return std::move(*call);
     m_share->hold(HeldPart::Head, 0);
@@ -186,7 +190,6 @@
 asio::awaitable<void> CallerSession::refuseUnread(const beast::error_code& error)
 {
     bool isShortOfMemory = m_isEvicted || error == asio::error::no_buffer_space;
-    m_share->enter(ClientStage::Closing); // Nothing is read any more that could be cancelled.
     bool isCallerGone = error == http::error::end_of_stream || error == asio::error::connection_reset || m_isClosed;
     if (isShortOfMemory && !m_isClosed)
         co_await refuse(http::status::service_unavailable, "memory is short", retryAfterEviction);
@@ -257,6 +260,7 @@
 asio::awaitable<void> CallerSession::refuse(
     http::status status, std::string_view reason, std::optional<Milliseconds> retryAfter)
 {
+    m_share->enter(ClientStage::Closing); // From here on, nothing is read that would have to be cancelled.
     m_context.metrics.count(fmt::format("requests_not_read_total{{status=\"{}\"}}", static_cast<unsigned>(status)));
     m_context.log.writeRoutine("bad_request", { { "status", static_cast<unsigned>(status) }, { "reason", reason } });
     HttpResponse response(status, 11);
