--- a/tests/fleet/clientbudget_test.cpp
+++ b/tests/fleet/clientbudget_test.cpp
@@ -35,9 +35,9 @@
 TEST(ClientBudget, DoesNotEndTheNewcomer)
 {
     ClientBudget budget({ 1000 * kibibyte, 3 });
-    std::vector<ClientBudget::Id> held;
-    for (int i = 0; i < 3; ++i)
-        held.push_back(addWith(budget, 300 * kibibyte, ClientStage::Receiving, start + i * 1s));
+    const std::vector<ClientBudget::Id> held { addWith(budget, 300 * kibibyte, ClientStage::Receiving, start),
+        addWith(budget, 300 * kibibyte, ClientStage::Receiving, start + 1s),
+        addWith(budget, 300 * kibibyte, ClientStage::Receiving, start + 2s) };
     auto newcomer = addWith(budget, 10 * kibibyte, ClientStage::Receiving, start + 5s);
     EXPECT_FALSE(budget.willFit(200 * kibibyte));
     EXPECT_EQ(budget.endForBytes(start + 5s), held[0]);
