Check the head of each response in the gateway before any of it is used

What callers saw: a server in trouble answered with status 000, and the caller got "HTTP/1.1 000 OK" as its answer, streams and plain answers, straight and through another node. So it was with 001 to 099, 101, 600 and more, with interim answers that carried the request's id, with a line that begins with a blank (joined to the field before it and passed on) and with a Transfer-Encoding that is not exactly "chunked": there the body was not the server's. A head of status 000 that said "not run" was believed, and a request that may run once went to a second server.

Cause: the gateway took for an answer whatever the HTTP library's parser accepts, at three places: answers of servers, of nodes, and to the node's own requests (store, nodes, servers' states). A fourth decoded statuses that another node passes on, from 0 to 599.

Change: ResponseHeadCheck (src/base) checks a head as it arrives, without I/O, and says in a typed error what is wrong: by RFC 9110 15 and RFC 9112 4 to 6. readResponseHead() is the one place where the gateway reads heads; it drops interim answers and fails with the problem before the parser sees a byte. A broken answer counts as broken off: the connection is closed, a request that may run once gets 502 and is not sent again, others go to another server, `send_ended` and `answer_malformed` lines name the reason. decodeRelayedAnswer() uses the same rules. The three limits for heads have become one.

A head that ends early never reached a caller; its test stays.

--- a/src/gateway/callforwarder.h
+++ b/src/gateway/callforwarder.h
@@ -5,9 +5,8 @@
 #include "gateway/context.h"
 #include "gateway/eventstream.h"
 #include "gateway/http.h"
+#include "gateway/responsereader.h"
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <span>
@@ -17,6 +16,7 @@
 namespace Kumquatpick {
 
 class ClientShare;
+enum class AnswerFault : uint8_t;
 enum class HeldPart : uint8_t;
 
 // Handles one call until its final response: finds its route and team, sends it to a backend server, sends it to
@@ -45,7 +45,6 @@
         Broken, // The connection was closed, or the replica stalled, before the response was complete.
         CallerBroken, // The caller's connection failed.
     };
-    using BodyParser = http::response_parser<http::buffer_body>;
 
     // Routing and scheduling of the call.
     bool findRoute();
@@ -76,14 +75,14 @@
     asio::awaitable<SendOutcome> sendToServer();
     asio::awaitable<SendOutcome> sendOver(PeerConnection&);
     asio::awaitable<SendOutcome> readReply(PeerConnection&);
-    asio::awaitable<bool> readMatchingHead(PeerConnection&, std::unique_ptr<BodyParser>&, ReplyHead&);
+    asio::awaitable<bool> readMatchingHead(PeerConnection&, std::unique_ptr<ResponseParser>&, ReplyHead&);
     // Status that the backend server reports along with its response.
     void applyServerNotice(const ReplyHead&);
     void applyDrainingNotice(const ReplyHead&);
     void applyBackoffNotice(const ReplyHead&);
     void applyLimitNotice(const ReplyHead&);
-    asio::awaitable<bool> readBody(PeerConnection&, BodyParser&, std::string& body);
-    asio::awaitable<SendOutcome> forwardStream(PeerConnection&, BodyParser&);
+    asio::awaitable<bool> readBody(PeerConnection&, ResponseParser&, std::string& body);
+    asio::awaitable<SendOutcome> forwardStream(PeerConnection&, ResponseParser&);
     // Whether an answer that ended with its connection ended because its server did.
     asio::awaitable<bool> hasEndedWithServer();
     asio::awaitable<bool> writeEvents(const ResponseHead&, std::string events);
@@ -92,7 +91,7 @@
     void recordFirstEvent(MonotonicTime now);
     void recordData(); // A part of the answer arrived.
     void recordBackendError(std::string_view step, const beast::error_code&);
-    void recordEndlessAnswer(std::string_view step, std::string_view reason);
+    void recordAnswerFault(AnswerFault, std::string_view step, std::string_view reason);
     asio::awaitable<void> recordRunEnd(SendOutcome, Address);
     asio::awaitable<SendOutcome> forwardResponse(const ResponseHead&, const ReplyHead&, std::string body);
 
--- a/src/gateway/callrelay.cpp
+++ b/src/gateway/callrelay.cpp
@@ -4,7 +4,6 @@
 #include "gateway/clientconnections.h"
 
 #include <algorithm>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -110,11 +109,9 @@
         recordBackendError("sending the request to a node", writeError);
         co_return SendOutcome::Broken;
     }
-    BodyParser parser;
-    parser.header_limit(AnswerLimits::headBytes);
+    ResponseParser parser;
     parser.body_limit(maxResponseBytes);
-    auto [readError, read] = co_await http::async_read_header(connection.stream, connection.buffer, parser, asTuple);
-    if (readError) {
+    if (auto readError = co_await readResponseHead(connection, parser)) {
         recordBackendError("reading the response head of a node", readError);
         co_return SendOutcome::Broken;
     }
--- a/src/gateway/callsend.cpp
+++ b/src/gateway/callsend.cpp
@@ -1,5 +1,6 @@
 #include "gateway/callforwarder.h"
 
+#include "gateway/answerfault.h"
 #include "gateway/asio.h"
 #include "gateway/clientconnections.h"
 #include "gateway/limitfield.h"
@@ -223,10 +224,10 @@
     m_context.suspicion.wrote(m_suspects, m_hostId, m_context.now());
 }
 
-void CallForwarder::recordEndlessAnswer(std::string_view step, std::string_view reason)
+void CallForwarder::recordAnswerFault(AnswerFault fault, std::string_view step, std::string_view reason)
 {
-    m_context.metrics.count("answers_without_end_total{kind=\"call\"}");
-    m_context.log.writeRoutine("answer_without_end",
+    m_context.metrics.count(fmt::format("{}{{kind=\"call\"}}", metricName(fault)));
+    m_context.log.writeRoutine(eventName(fault),
         { { "id", m_call.id }, { "host", m_node.empty() ? m_hostId : m_node }, { "step", step },
             { "reason", reason } });
 }
@@ -234,8 +235,8 @@
 void CallForwarder::recordBackendError(std::string_view step, const beast::error_code& error)
 {
     m_lastError = fmt::format("{} failed: {}", step, error.message());
-    if (exceedsAnswerLimit(error))
-        recordEndlessAnswer(step, error.message());
+    if (auto fault = answerFault(error))
+        recordAnswerFault(*fault, step, error.message());
     m_isClosedByServer
         = isClosedByPeer(error) && m_active->cancelReason == CancelReason::None && m_active->left == LeaveReason::None;
 }
@@ -289,14 +290,12 @@
 
 // Reads the response head of this call. Late responses to earlier requests may precede it and are skipped.
 asio::awaitable<bool> CallForwarder::readMatchingHead(
-    PeerConnection& connection, std::unique_ptr<BodyParser>& parser, ReplyHead& reply)
+    PeerConnection& connection, std::unique_ptr<ResponseParser>& parser, ReplyHead& reply)
 {
     for (int i = 0; i < maxStaleResponses; ++i) {
-        parser = std::make_unique<BodyParser>();
-        parser->header_limit(AnswerLimits::headBytes);
+        parser = std::make_unique<ResponseParser>();
         parser->body_limit(maxResponseBytes);
-        auto [error, read] = co_await http::async_read_header(connection.stream, connection.buffer, *parser, asTuple);
-        if (error) {
+        if (auto error = co_await readResponseHead(connection, *parser)) {
             recordBackendError("reading the response head", error);
             co_return false;
         }
@@ -365,7 +364,7 @@
             { "per_second", limitOrNull(limit) } });
 }
 
-asio::awaitable<bool> CallForwarder::readBody(PeerConnection& connection, BodyParser& parser, std::string& body)
+asio::awaitable<bool> CallForwarder::readBody(PeerConnection& connection, ResponseParser& parser, std::string& body)
 {
     std::array<char, readBytes> bytes {};
     while (!parser.is_done()) {
@@ -393,7 +392,7 @@
 
 asio::awaitable<CallForwarder::SendOutcome> CallForwarder::readReply(PeerConnection& connection)
 {
-    std::unique_ptr<BodyParser> parser;
+    std::unique_ptr<ResponseParser> parser;
     ReplyHead reply;
     if (!co_await readMatchingHead(connection, parser, reply))
         co_return SendOutcome::Broken;
@@ -468,7 +467,8 @@
     co_return true;
 }
 
-asio::awaitable<CallForwarder::SendOutcome> CallForwarder::forwardStream(PeerConnection& connection, BodyParser& parser)
+asio::awaitable<CallForwarder::SendOutcome> CallForwarder::forwardStream(
+    PeerConnection& connection, ResponseParser& parser)
 {
     std::array<char, readBytes> bytes {};
     bool isWriting = false;
@@ -486,7 +486,7 @@
             m_context.balancer.streamProgressed(m_hostId, m_context.now());
         if (m_eventStream.partialBytes() > maxEventBytes) {
             m_lastError = "the event stream holds an event without an end";
-            recordEndlessAnswer("reading the event stream", "event without an end");
+            recordAnswerFault(AnswerFault::WithoutEnd, "reading the event stream", "event without an end");
             co_return SendOutcome::Broken;
         }
         if (!isWriting && m_eventStream.events() > eventsBefore) {
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/connectionpool.h"
 
+#include "gateway/answerfault.h"
 #include "gateway/answershare.h"
 #include "gateway/asio.h"
 
@@ -150,11 +151,9 @@
 }
 
 asio::awaitable<beast::error_code> ConnectionPool::readAnswer(
-    PeerConnection& connection, AnswerParser& parser, AnswerShare& share, Milliseconds bodyTimeout, std::string& body)
+    PeerConnection& connection, ResponseParser& parser, AnswerShare& share, Milliseconds bodyTimeout, std::string& body)
 {
-    auto [headError, headBytes]
-        = co_await http::async_read_header(connection.stream, connection.buffer, parser, asTuple);
-    if (headError)
+    if (auto headError = co_await readResponseHead(connection, parser))
         co_return headError;
     if (bodyTimeout.count() > 0)
         connection.stream.expires_after(bodyTimeout);
@@ -188,8 +187,9 @@
 
 Error ConnectionPool::readFailure(const Address& peer, Step step, const beast::error_code& error) const
 {
-    if (exceedsAnswerLimit(error) && m_endlessAnswer)
-        m_endlessAnswer(peer, step, error.message());
+    auto fault = answerFault(error);
+    if (fault && m_answerFault)
+        m_answerFault(*fault, peer, step, error.message());
     auto code = error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::BrokenOff;
     return { code, step, peer.toString(), error.message() };
 }
@@ -206,8 +206,7 @@
     auto [writeError, written] = co_await http::async_write(connection->stream, request, asTuple);
     if (writeError)
         co_return Error { ErrorCode::BrokenOff, step, peer.toString(), writeError.message() };
-    AnswerParser parser;
-    parser.header_limit(AnswerLimits::headBytes);
+    ResponseParser parser;
     parser.body_limit(maxBytes);
     HttpResponse response;
     {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -5,9 +5,8 @@
 #include "gateway/answerlimits.h"
 #include "gateway/http.h"
 #include "gateway/platform.h"
+#include "gateway/responsereader.h"
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -20,6 +19,7 @@
 
 class AnswerBudget;
 class AnswerShare;
+enum class AnswerFault : uint8_t;
 
 // An open connection to one peer, with the bytes that were read but not consumed yet.
 struct PeerConnection {
@@ -42,13 +42,13 @@
 // Connections kept open between uses. Not thread-safe: used from one event loop.
 class ConnectionPool {
 public:
-    // Told of an answer that exceeded its limits or what is left of the budget, and of the reason.
-    using EndlessAnswerHandler = std::function<void(const Address&, Step, std::string_view reason)>;
+    // Told of an answer that was given up for a fault of its own, and of the reason.
+    using AnswerFaultHandler = std::function<void(AnswerFault, const Address&, Step, std::string_view reason)>;
 
     // The budget: of what the answers of all exchanges hold at once.
     ConnectionPool(asio::any_io_executor, size_t answerBytes);
 
-    void setEndlessAnswerHandler(EndlessAnswerHandler handler) { m_endlessAnswer = std::move(handler); }
+    void setAnswerFaultHandler(AnswerFaultHandler handler) { m_answerFault = std::move(handler); }
 
     // Returns a connection that was idle for at most longestIdle, or else a new one. Fails with Unreachable, or with
     // Refused if nothing listens at the address; in both cases nothing was sent.
@@ -67,18 +67,16 @@
     // Sends one request and reads the complete response. Fails with Unreachable or Refused if nothing was sent; after
     // other errors the peer may have acted on the request. A bodyTimeout starts after the head, so that large bodies
     // may take long while a silent peer is still detected early. A body beyond maxBytes fails with BrokenOff; so does
-    // one for which memory is short.
+    // one for which memory is short, and an answer whose head breaks the protocol.
     asio::awaitable<Settled<HttpResponse>> exchange(Address, HttpRequest, Milliseconds timeout, Step,
         Milliseconds bodyTimeout = {}, uint64_t maxBytes = AnswerLimits::reportBytes);
 
     uint64_t opened() const { return m_opened; }
 
 private:
-    using AnswerParser = http::response_parser<http::buffer_body>;
-
     // Returns what ended the reading, if not the end of the answer.
     asio::awaitable<beast::error_code> readAnswer(
-        PeerConnection&, AnswerParser&, AnswerShare&, Milliseconds bodyTimeout, std::string& body);
+        PeerConnection&, ResponseParser&, AnswerShare&, Milliseconds bodyTimeout, std::string& body);
     Error readFailure(const Address&, Step, const beast::error_code&) const;
 
     std::unique_ptr<PeerConnection> takeIdle(const Address&, Milliseconds longestIdle);
@@ -90,7 +88,7 @@
     std::map<Address, std::deque<std::unique_ptr<PeerConnection>>> m_idle;
     IdleLimits m_idleLimits;
     std::shared_ptr<AnswerBudget> m_answers; // Shared with the exchanges, whose coroutines may outlive this object.
-    EndlessAnswerHandler m_endlessAnswer;
+    AnswerFaultHandler m_answerFault;
     uint64_t m_opened = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "gateway/answerfault.h"
 #include "gateway/asio.h"
 #include "gateway/task.h"
 
@@ -65,11 +66,12 @@
     , m_peerServer(m_context, "peers", settings.peerBudget(), maxPeerRequestBytes,
           [this](const HttpRequest& request) { return answerPeer(request); })
 {
-    m_context.pool.setEndlessAnswerHandler([this](const Address& peer, Step step, std::string_view reason) {
-        m_context.metrics.count("answers_without_end_total{kind=\"exchange\"}");
-        m_context.log.writeRoutine(
-            "answer_without_end", { { "peer", peer.toString() }, { "step", name(step) }, { "reason", reason } });
-    });
+    m_context.pool.setAnswerFaultHandler(
+        [this](AnswerFault fault, const Address& peer, Step step, std::string_view reason) {
+            m_context.metrics.count(fmt::format("{}{{kind=\"exchange\"}}", metricName(fault)));
+            m_context.log.writeRoutine(
+                eventName(fault), { { "peer", peer.toString() }, { "step", name(step) }, { "reason", reason } });
+        });
     m_context.noticeStop = [this] { stopIfRequested(); };
     m_context.nodesReaching = [this](std::string_view service) { return m_peers.nodesReaching(service); };
     m_hostFollower.setReadFromPeer(
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "base/document.h"
 #include "base/documentreader.h"
+#include "base/responsehead.h"
 
 #include <algorithm>
 #include <boost/beast/http/verb.hpp>
@@ -22,27 +23,13 @@
         return { ErrorCode::Malformed, Step::Gossip, {}, std::string(detail) };
     }
 
-    bool isHeaderName(std::string_view text)
-    {
-        constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
-        return !text.empty() && text.size() <= maxHeaderBytes
-            && text.find_first_not_of(letters) == std::string_view::npos;
-    }
-
-    // No control characters, which could end the header.
-    bool isHeaderValue(std::string_view text)
-    {
-        auto isPrintable
-            = [](char character) { return static_cast<unsigned char>(character) >= 0x20 && character != 0x7f; };
-        return text.size() <= maxHeaderBytes && std::ranges::all_of(text, isPrintable);
-    }
-
     void readHeaders(const DocumentReader& list, http::fields& into)
     {
         for (const DocumentReader& header : list.elements()) {
             std::string_view name = header[0].text();
             std::string_view value = header[1].text();
-            if (isHeaderName(name) && isHeaderValue(value))
+            bool fits = name.size() <= maxHeaderBytes && value.size() <= maxHeaderBytes;
+            if (fits && isFieldName(name) && isFieldValue(value))
                 into.set(name, value);
             else
                 header.reject("a header");
@@ -54,7 +41,8 @@
         auto address = settle([&] { return Address::parse(entry["host"].text()); });
         http::verb method = http::string_to_verb(entry["method"].text());
         std::string_view target = entry["target"].text();
-        bool isTarget = target.starts_with('/') && isHeaderValue(target) && target.find(' ') == std::string_view::npos;
+        bool isTarget = target.starts_with('/') && target.size() <= maxHeaderBytes && isFieldValue(target)
+            && target.find_first_of(" \t") == std::string_view::npos;
         if (std::holds_alternative<Error>(address) || method == http::verb::unknown || !isTarget)
             return std::nullopt;
         RelayedCall call { std::get<Address>(std::move(address)), HttpRequest(method, target, 11) };
@@ -67,7 +55,10 @@
     {
         constexpr uint64_t lastStatus = 599;
         HttpResponse response;
-        response.result(static_cast<unsigned>(entry["status"].integer(lastStatus)));
+        auto status = static_cast<unsigned>(entry["status"].integer(lastStatus));
+        if (!isFinalStatus(status))
+            entry["status"].reject("the status of an answer");
+        response.result(status);
         readHeaders(entry["headers"], response);
         response.body() = entry["body"].text();
         return response;
--- a/tests/caller/rawcaller.h
+++ b/tests/caller/rawcaller.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 
 #include <arpa/inet.h>
+#include <functional>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <string>
@@ -32,12 +33,19 @@
     void send(std::string_view text) const { (void)!::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
     void endWriting() const { shutdown(m_socket, SHUT_WR); }
 
+    // Until the other side closes the connection.
     std::string readAll() const
+    {
+        return readUntil([](const std::string&) { return false; });
+    }
+
+    // Until the text is enough, or the other side closes the connection.
+    std::string readUntil(const std::function<bool(const std::string&)>& isEnough) const
     {
         std::string all;
         char buffer[4096];
         ssize_t got = 0;
-        while ((got = recv(m_socket, buffer, sizeof buffer, 0)) > 0)
+        while (!isEnough(all) && (got = recv(m_socket, buffer, sizeof buffer, 0)) > 0)
             all.append(buffer, static_cast<size_t>(got));
         return all;
     }
--- a/tests/gateway/connectionpool_test.cpp
+++ b/tests/gateway/connectionpool_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/connectionpool.h"
 
+#include "base/brokenanswers.h"
 #include "gateway/asio.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -38,7 +39,8 @@
         }
     };
 
-    Settled<HttpResponse> exchangeWith(const SlowServer& server, Milliseconds forBody)
+    template <typename Server>
+    Settled<HttpResponse> exchangeWithServer(const Server& server, Milliseconds forHead, Milliseconds forBody)
     {
         asio::io_context io;
         asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
@@ -50,13 +52,42 @@
             io,
             [&]() -> asio::awaitable<void> {
                 HttpRequest request(http::verb::get, "/", 11);
-                result = co_await pool.exchange(address, std::move(request), timeout, Step::LogRead, forBody);
+                result = co_await pool.exchange(address, std::move(request), forHead, Step::LogRead, forBody);
             },
             asio::detached);
         io.run();
         return result;
     }
 
+    Settled<HttpResponse> exchangeWith(const SlowServer& server, Milliseconds forBody)
+    {
+        return exchangeWithServer(server, timeout, forBody);
+    }
+
+    // Sends these bytes after one request, and keeps the connection open if told so.
+    struct RawServer {
+        std::string bytes;
+        bool keepsConnection = false;
+
+        asio::awaitable<void> serve(asio::ip::tcp::acceptor& acceptor) const
+        {
+            auto [acceptError, socket] = co_await acceptor.async_accept(asTuple);
+            beast::flat_buffer buffer;
+            HttpRequest request;
+            co_await http::async_read(socket, buffer, request, asTuple);
+            co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+            char byte = 0;
+            if (keepsConnection)
+                co_await socket.async_read_some(asio::buffer(&byte, 1), asTuple);
+        }
+    };
+
+    Settled<HttpResponse> exchangeWithRaw(const RawServer& server)
+    {
+        constexpr Milliseconds longTimeout { 10'000 };
+        return exchangeWithServer(server, longTimeout, {});
+    }
+
     std::optional<ErrorCode> errorOf(const Settled<HttpResponse>& result)
     {
         auto* error = std::get_if<Error>(&result);
@@ -80,6 +111,24 @@
     EXPECT_EQ(errorOf(exchangeWith({ {}, longPause }, {})), ErrorCode::Timeout);
 }
 
+// Guards against answers of the store, of nodes and of servers' states being used whose heads break the protocol.
+TEST(ConnectionPool, TakesABrokenHeadForNoAnswer)
+{
+    SoundAnswer sound = plainAnswerOf("Etag: x\r\n");
+    EXPECT_FALSE(errorOf(exchangeWithRaw({ sound.text(), false })));
+    std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    auto afterInterim = exchangeWithRaw({ interim + sound.text(), false });
+    ASSERT_FALSE(errorOf(afterInterim));
+    EXPECT_EQ(std::get<HttpResponse>(afterInterim).body(), "hello");
+    for (const auto& kinds :
+        { answersWithBrokenStatus(sound), answersWithBrokenFields(sound), answersWithBrokenLength(sound.identity) }) {
+        for (const BrokenAnswer& broken : kinds)
+            EXPECT_EQ(errorOf(exchangeWithRaw({ broken.bytes, true })), ErrorCode::BrokenOff) << broken.what;
+    }
+    for (const BrokenAnswer& broken : answersThatEndInTheirHead(sound))
+        EXPECT_EQ(errorOf(exchangeWithRaw({ broken.bytes, false })), ErrorCode::BrokenOff) << broken.what;
+}
+
 // Guards against calls that must not run twice, and so need a fresh connection, closing those that others can use.
 TEST(ConnectionPool, KeepsConnectionsThatAreIdleTooLongForOneUseAndLearnsWhenTheyAreClosed)
 {
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -224,4 +224,21 @@
     EXPECT_EQ(std::get<Error>(decodeRelayedAnswer("garbage")).code, ErrorCode::Malformed);
 }
 
+// Guards against a node handing on an answer of a server whose status or fields no answer may have.
+TEST(Relay, TakesABrokenHeadForNoAnswer)
+{
+    auto decode = [](int status, const std::string& name, const std::string& value) {
+        json text { { "status", status }, { "body", "body" },
+            { "headers", json::array({ json::array({ name, value }) }) } };
+        return decodeRelayedAnswer(text.dump());
+    };
+    EXPECT_EQ(std::get<HttpResponse>(decode(200, "Name", "a\tvalue"))["Name"], "a\tvalue");
+    for (int status : { 0, 1, 99, 100, 101, 103, 199, 600, 999, -200 })
+        EXPECT_TRUE(std::holds_alternative<Error>(decode(status, "Name", "value"))) << status;
+    for (const char* name : { "", "Bad Name", "Name ", " Name", "Na\x01me", "Na\nme", "Name:" })
+        EXPECT_TRUE(std::holds_alternative<Error>(decode(200, name, "value"))) << name;
+    for (const char* value : { "a\r\nOther: b", "a\x01", "a\x7f" })
+        EXPECT_TRUE(std::holds_alternative<Error>(decode(200, "Name", value))) << value;
+}
+
 } // namespace Kumquatpick
--- a/tests/platform/cutoffnode_test.cpp
+++ b/tests/platform/cutoffnode_test.cpp
@@ -1,7 +1,7 @@
 #include "platform/callerthread.h"
 #include "platform/eventually.h"
 #include "platform/exampleconfig.h"
-#include "platform/fakelinks.h"
+#include "platform/linkedcodec.h"
 #include "platform/platformfakes.h"
 #include "platform/testnode.h"
 
@@ -14,26 +14,6 @@
 
     using namespace std::chrono_literals;
 
-    // Reaches the backend servers over links that can be cut.
-    class LinkedCodec : public PlatformCodec {
-    public:
-        explicit LinkedCodec(FakeLinks& links)
-            : m_links(links)
-        {
-        }
-
-        Settled<Host> host(std::string_view id, std::string_view text) const override
-        {
-            auto decoded = PlatformCodec::host(id, text);
-            if (auto* host = std::get_if<Host>(&decoded))
-                host->address = m_links.via(host->address);
-            return decoded;
-        }
-
-    private:
-        FakeLinks& m_links;
-    };
-
     // Two nodes that reach all backend servers, and one that can be partitioned from them. Callers, the store and the
     // other nodes reach it all the while.
     class OneCutOffNode : public testing::Test {
