Check the head of each response in the daemon before the HTTP library sees it

What callers saw: the daemon passed a server's status 000 on as "HTTP/1.1 0 Internal Server Error" with the outcome "answered", and so it did with each status of three digits. Names of fields were not checked, lines without CR and LF were dropped, and an answer whose head said "Content-Length : 5" or "Content-Length: x" had another body or none. The same holds for what the daemon reads of hosts, the log, the list of hosts and the weight store.

Cause: all of it is left to the HTTP library, which takes any three digits and any line with a colon.

Change: WatchedStream takes in the head, lets ResponseHeadCheck look at it and only then hands it to the library; interim answers are dropped there. HttpExchange tells what its end means in one place instead of two. A broken answer counts as broken off (Malformed where only the length is unclear, as before): a request with a key gets "may-have-run", a repeatable one another server. The reason is in the refusal's line, and a broken answer of a try that is followed by another one is logged now, too.

--- a/src/backend/httpexchange.cpp
+++ b/src/backend/httpexchange.cpp
@@ -53,11 +53,38 @@
         return ExchangeEnd::Cancelled;
     if (m_streamState == WatchedStream::State::Excessive)
         return ExchangeEnd::Endless;
+    if (m_streamState == WatchedStream::State::Malformed)
+        return ExchangeEnd::Malformed;
     bool hasBody = request.method != "HEAD" && response.status != 204;
     bool isCutShort = hasBody && isChunked(response) && !m_endedWithBlankLine;
     return isAnswered && !isCutShort ? ExchangeEnd::Whole : ExchangeEnd::BrokenOff;
 }
 
+Error HttpExchange::error(ExchangeEnd end, Step step, std::string peer) const
+{
+    switch (end) {
+    case ExchangeEnd::NotConnected:
+        return { ErrorCode::Unreachable, step, std::move(peer), "no connection could be made" };
+    case ExchangeEnd::TimedOut:
+        return { ErrorCode::Timeout, step, std::move(peer), "no whole answer in time" };
+    case ExchangeEnd::Cancelled:
+        return { ErrorCode::ShuttingDown, step, std::move(peer), "cancelled" };
+    case ExchangeEnd::Stopped:
+        return { ErrorCode::Malformed, step, std::move(peer), "the answer is too large" };
+    case ExchangeEnd::Endless:
+        return { ErrorCode::BrokenOff, step, std::move(peer), "the answer has a head or a line without end" };
+    case ExchangeEnd::Malformed: {
+        bool hasNoEnd = *m_headProblem == HeadProblem::BodyLength;
+        auto code = hasNoEnd ? ErrorCode::Malformed : ErrorCode::BrokenOff;
+        return { code, step, std::move(peer), std::string(describe(*m_headProblem)) };
+    }
+    case ExchangeEnd::Whole:
+    case ExchangeEnd::BrokenOff:
+        break;
+    }
+    return { ErrorCode::BrokenOff, step, std::move(peer), "the connection ended before the answer did" };
+}
+
 bool HttpExchange::process_socket(const Socket& socket, std::function<bool(httplib::Stream&)> exchange)
 {
     m_connected = true;
@@ -66,6 +93,7 @@
     bool isDone = exchange(stream);
     m_stream = nullptr;
     m_streamState = stream.state();
+    m_headProblem = stream.headProblem();
     m_endedWithBlankLine = stream.endedWithBlankLine();
     return isDone;
 }
--- a/src/backend/httpexchange.h
+++ b/src/backend/httpexchange.h
@@ -3,6 +3,7 @@
 #include "backend/watchedstream.h"
 #include "base/address.h"
 #include "base/clock.h"
+#include "base/error.h"
 #include <httplib.h>
 
 #include <functional>
@@ -16,6 +17,7 @@
     Cancelled,
     BrokenOff,
     Endless, // A head, or a line between pieces of the body, is longer than any that a sound peer sends.
+    Malformed, // The head breaks the protocol.
     Stopped, // By one of the request's own handlers.
 };
 
@@ -31,6 +33,9 @@
     // Blocks until the end, at the latest the deadline. To be called once. Without a content receiver the body is
     // read and dropped.
     ExchangeEnd run(httplib::Request&, httplib::Response&);
+    // What the end means to who made the request, unless that is Whole. An answer that breaks the protocol counts as
+    // one that was broken off; one that does not tell where its body ends is Malformed.
+    Error error(ExchangeEnd, Step, std::string peer) const;
 
 private:
     bool process_socket(const Socket&, std::function<bool(httplib::Stream&)> exchange) override;
@@ -41,6 +46,7 @@
     bool m_endedWithBlankLine = false;
     WatchedStream* m_stream = nullptr; // During the exchange.
     WatchedStream::State m_streamState = WatchedStream::State::Open;
+    std::optional<HeadProblem> m_headProblem;
 };
 
 // Whether the answer's header says "chunked".
--- a/src/backend/jsonexchange.cpp
+++ b/src/backend/jsonexchange.cpp
@@ -4,27 +4,6 @@
 
 namespace Kumquatpick {
 
-namespace {
-
-    Error exchangeError(ExchangeEnd end, Step step, const Address& address)
-    {
-        std::string peer = address.toString();
-        switch (end) {
-        case ExchangeEnd::NotConnected:
-            return { ErrorCode::Unreachable, step, peer, "no connection could be made" };
-        case ExchangeEnd::TimedOut:
-            return { ErrorCode::Timeout, step, peer, "no whole answer in time" };
-        case ExchangeEnd::Stopped:
-            return { ErrorCode::Malformed, step, peer, "the answer is too large" };
-        case ExchangeEnd::Endless:
-            return { ErrorCode::BrokenOff, step, peer, "the answer has a head or a line without end" };
-        default:
-            return { ErrorCode::BrokenOff, step, peer, "the connection ended before the answer did" };
-        }
-    }
-
-}
-
 Result<JsonAnswer> exchangeJson(const Address& address, std::string_view method, std::string_view path,
     std::string body, Milliseconds timeout, Step step, size_t largestBody)
 {
@@ -41,9 +20,10 @@
         return received.size() <= largestBody;
     };
     httplib::Response response;
-    ExchangeEnd end = HttpExchange(address, monotonicNow() + timeout).run(request, response);
+    HttpExchange exchange(address, monotonicNow() + timeout);
+    ExchangeEnd end = exchange.run(request, response);
     if (end != ExchangeEnd::Whole)
-        return fail(exchangeError(end, step, address));
+        return fail(exchange.error(end, step, address.toString()));
     return JsonAnswer { response.status, std::move(received) };
 }
 
--- a/src/backend/jsonexchange.h
+++ b/src/backend/jsonexchange.h
@@ -17,7 +17,7 @@
 constexpr size_t largestJsonBody = 4 << 20;
 
 // One request for JSON; blocks up to the timeout. Fails with Unreachable only if nothing was sent, else
-// with Timeout, BrokenOff, or Malformed for a body that is larger than largestBody.
+// with Timeout, BrokenOff, or Malformed for a body that is larger than largestBody or does not tell where it ends.
 Result<JsonAnswer> exchangeJson(const Address&, std::string_view method, std::string_view path, std::string body,
     Milliseconds timeout, Step, size_t largestBody = largestJsonBody);
 
--- a/src/backend/transfer.cpp
+++ b/src/backend/transfer.cpp
@@ -72,32 +72,20 @@
     httplib::Request request = httpRequest();
     httplib::Response response;
     HttpExchange exchange(m_request.address, m_request.deadline, m_cancelDescriptor);
-    switch (exchange.run(request, response)) {
-    case ExchangeEnd::Whole:
+    ExchangeEnd end = exchange.run(request, response);
+    if (end == ExchangeEnd::Whole || end == ExchangeEnd::NotConnected)
         release();
+    if (end == ExchangeEnd::Whole) {
         // The library skips the response handler where an answer has no body by its nature.
         if (takeHead(response, false))
             finish(std::nullopt);
         return;
-    case ExchangeEnd::NotConnected:
-        release();
-        finish(error(ErrorCode::Unreachable, "no connection could be made"));
-        return;
-    case ExchangeEnd::TimedOut:
-        finish(error(ErrorCode::Timeout, "the deadline passed"));
-        break;
-    case ExchangeEnd::Cancelled:
-        finish(error(ErrorCode::ShuttingDown, "cancelled"));
-        break;
-    case ExchangeEnd::BrokenOff:
-        finish(error(ErrorCode::BrokenOff, "the connection ended before the answer did"));
-        break;
-    case ExchangeEnd::Endless: // The server is as faulty as one that resets.
-        finish(error(ErrorCode::BrokenOff, "the answer has a head or a line without end"));
-        break;
-    case ExchangeEnd::Stopped:
-        break; // The handler that stopped it has said why.
     }
+    // The handler that stopped the exchange has said why.
+    if (end != ExchangeEnd::Stopped)
+        finish(exchange.error(end, step(), peer()));
+    if (end == ExchangeEnd::NotConnected)
+        return;
     cancelAtEngine();
 }
 
@@ -220,11 +208,10 @@
     HttpExchange(m_request.address, monotonicNow() + cancelTimeout).run(request, ignored);
 }
 
-Error Transfer::error(ErrorCode code, std::string detail) const
-{
-    const std::string& host = m_request.host;
-    return { code, m_head ? Step::Stream : Step::Dispatch, host.empty() ? m_request.address.toString() : host,
-        std::move(detail) };
-}
+Step Transfer::step() const { return m_head ? Step::Stream : Step::Dispatch; }
+
+std::string Transfer::peer() const { return m_request.host.empty() ? m_request.address.toString() : m_request.host; }
+
+Error Transfer::error(ErrorCode code, std::string detail) const { return { code, step(), peer(), std::move(detail) }; }
 
 } // namespace Kumquatpick
--- a/src/backend/transfer.h
+++ b/src/backend/transfer.h
@@ -41,6 +41,8 @@
     bool takePiece(std::string_view);
     void finish(std::optional<Error>);
     void cancelAtEngine();
+    Step step() const;
+    std::string peer() const;
     Error error(ErrorCode, std::string detail) const;
 
     BackendRequest m_request;
--- a/src/backend/watchedstream.cpp
+++ b/src/backend/watchedstream.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace Kumquatpick {
 
@@ -28,9 +29,10 @@
 
 ssize_t WatchedStream::read(char* bytes, size_t size)
 {
-    if (m_unread.empty() && !fill())
+    bool isHeadRead = m_isHeadChecked || readHead();
+    if (!isHeadRead || (m_unread.empty() && !fill()))
         return m_state == State::Closed ? 0 : -1;
-    size_t count = std::min(size, m_unread.size());
+    size_t count = std::min({ size, m_unread.size(), bufferBytes });
     m_framingBytes += count;
     if (m_framingBytes > framingBytes) {
         m_state = State::Excessive;
@@ -110,6 +112,39 @@
     return false;
 }
 
+// Takes in the head of the final response, with what has arrived after it.
+bool WatchedStream::readHead()
+{
+    ResponseHeadCheck check;
+    while (true) {
+        ResponseHeadCheck::Progress progress = check.advance(m_head);
+        if (auto* problem = std::get_if<HeadProblem>(&progress)) {
+            m_headProblem = *problem;
+            m_state = State::Malformed;
+            return false;
+        }
+        auto* head = std::get_if<ResponseHeadCheck::Head>(&progress);
+        if (head && isFinalStatus(head->status)) {
+            m_unread = m_head;
+            m_isHeadChecked = true;
+            return true;
+        }
+        if (head) {
+            m_framingBytes += head->size;
+            m_head.erase(0, head->size);
+            check = {};
+            continue;
+        }
+        if (m_framingBytes + m_head.size() > framingBytes) {
+            m_state = State::Excessive;
+            return false;
+        }
+        if (!fill())
+            return false;
+        m_head += std::exchange(m_unread, {});
+    }
+}
+
 void WatchedStream::rememberTail(std::string_view handedOut)
 {
     handedOut.remove_prefix(handedOut.size() - std::min(handedOut.size(), tailBytes));
--- a/src/backend/watchedstream.h
+++ b/src/backend/watchedstream.h
@@ -1,16 +1,20 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/responsehead.h"
 #include <httplib.h>
 
 #include <array>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace Kumquatpick {
 
 // The HTTP library's view of one connected socket, with what the library's own lacks: a deadline over all
 // reads and writes together, a descriptor that cancels them at once, a bound on what the library keeps until it has a
-// whole line or a whole head, and a look at the last bytes read.
+// whole line or a whole head, a check of the head before the library sees any of it, and a look at the last bytes read.
+// Interim responses are dropped.
 class WatchedStream final : public httplib::Stream {
 public:
     enum class State : uint8_t {
@@ -19,12 +23,14 @@
         TimedOut,
         Cancelled,
         Excessive, // The peer sent too much that was no body.
+        Malformed, // The head breaks the protocol: see headProblem().
     };
 
     // cancelDescriptor becomes readable to cancel; -1 for none. Both descriptors stay the caller's.
     WatchedStream(int socket, MonotonicTime deadline, int cancelDescriptor);
 
     State state() const { return m_state; }
+    std::optional<HeadProblem> headProblem() const { return m_headProblem; }
     // Tells that bytes of the body arrived. Between two such calls, at most framingBytes are handed out: a head, or the
     // lines around a chunk.
     void notePieceOfBody() { m_framingBytes = 0; }
@@ -48,6 +54,7 @@
 
     bool waitFor(short events) const;
     bool fill();
+    bool readHead();
     void rememberTail(std::string_view handedOut);
 
     int m_socket;
@@ -55,7 +62,10 @@
     int m_cancelDescriptor;
     mutable State m_state = State::Open;
     std::array<char, bufferBytes> m_buffer;
-    std::string_view m_unread; // In m_buffer.
+    std::string m_head; // As received, with what arrived of the body by then.
+    bool m_isHeadChecked = false;
+    std::optional<HeadProblem> m_headProblem;
+    std::string_view m_unread; // In m_head or m_buffer.
     size_t m_framingBytes = 0; // Handed out since the last piece of the body.
     std::array<char, tailBytes> m_tail {};
 };
--- a/src/caller/dispatch.cpp
+++ b/src/caller/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "caller/requesthandler.h"
 
+#include "base/logline.h"
 #include "base/metrics.h"
 #include "policy/retrybudget.h"
 #include "policy/router.h"
@@ -189,6 +190,8 @@
     bool broke = error.code == ErrorCode::BrokenOff;
     if (!m_replica.hosts.empty() && (broke || error.code == ErrorCode::Unreachable))
         m_dependencies.directory.unanswered(m_replica.hosts.front(), now);
+    if (broke || error.code == ErrorCode::Malformed)
+        logError("the answer of a backend server is broken", error);
     if (broke)
         m_dependencies.suspicion.replicaDied(m_replica.replica, now);
     else
--- a/tests/caller/testnode.h
+++ b/tests/caller/testnode.h
@@ -92,14 +92,24 @@
     }
 
     // Registers one replica of the model service and one of the plain service for each backend, with one host each.
-    void start(std::vector<FakeBackend*> backends)
+    void start(const std::vector<FakeBackend*>& backends)
+    {
+        std::vector<uint16_t> ports;
+        ports.reserve(backends.size());
+        for (const FakeBackend* backend : backends)
+            ports.push_back(backend->port());
+        startWith(ports);
+    }
+
+    // The same for backends at local ports.
+    void startWith(const std::vector<uint16_t>& ports)
     {
         std::map<Offset, Claim> claims;
         std::vector<ListedHost> listed;
         std::vector<ReplicaSample> model;
         std::vector<ReplicaSample> plain;
-        for (size_t i = 0; i < backends.size(); ++i) {
-            Address address { "127.0.0.1", backends[i]->port() };
+        for (size_t i = 0; i < ports.size(); ++i) {
+            Address address { "127.0.0.1", ports[i] };
             std::string host = "m" + std::to_string(i);
             Claim claim;
             claim.offset = i + 1;
@@ -115,7 +125,7 @@
         }
         directory.setClaims(claims);
         directory.setListed(listed);
-        reportHostsReady(backends.size());
+        reportHostsReady(ports.size());
         admission.configure(text);
         router.setServing("writers", model);
         router.setServing("desk", plain);
