Check the head of a node's answer in the operators' tool

What operators saw: `kumquatpick send` and `keys` printed the body of an answer with status 000, with lines that are no fields or with a broken length, and ended with exit code 0.

Cause: the tool had a client of its own and left all checks to the HTTP library.

Change: NodeClient uses the daemon's HttpExchange, with its check of the head and of chunks that are cut. Its timeout is for the whole answer now; a node ends an answer at the request's deadline, two seconds before it. Paths are encoded as the client did: only what no request line may hold.

Evidence: ToolSend.TakesABrokenHeadForNoAnswer and ToolKeys.TakesNoneFromABrokenHead failed before and pass.

--- a/src/tool/nodeclient.cpp
+++ b/src/tool/nodeclient.cpp
@@ -1,5 +1,7 @@
 #include "tool/nodeclient.h"
 
+#include "backend/httpexchange.h"
+#include "tool/percent.h"
 #include <httplib.h>
 
 #include <algorithm>
@@ -10,26 +12,17 @@
 
 namespace {
 
-    constexpr Milliseconds connectTimeout { 1000 };
-
     char lower(char c) { return static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c); }
 
     bool sameName(std::string_view a, std::string_view b) { return std::ranges::equal(a, b, {}, lower, lower); }
 
-    Error toError(httplib::Error error, const Address& node)
-    {
-        bool nothingSent = error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-            || error == httplib::Error::BindIPAddress;
-        return { nothingSent ? ErrorCode::Unreachable : ErrorCode::BrokenOff, Step::Dispatch, node.toString(),
-            httplib::to_string(error) };
-    }
-
     httplib::Request toHttp(const NodeRequest& request)
     {
         httplib::Request http;
         http.method = request.method;
-        http.path = request.path;
+        http.path = percentEncodedTarget(request.path);
         http.body = request.body;
+        http.headers = { { "Accept-Encoding", "identity" } };
         for (const auto& [name, value] : request.headers)
             http.headers.emplace(name, value);
         if (!request.body.empty())
@@ -52,10 +45,6 @@
 
 Result<NodeAnswer> NodeClient::callOne(const Address& node, const NodeRequest& request) const
 {
-    httplib::Client client(node.ip, node.port);
-    client.set_connection_timeout(connectTimeout);
-    client.set_read_timeout(request.timeout);
-    client.set_write_timeout(request.timeout);
     NodeAnswer answer;
     httplib::Request http = toHttp(request);
     http.content_receiver = [&](const char* data, size_t length, uint64_t, uint64_t) {
@@ -64,11 +53,13 @@
             request.onBody({ data, length });
         return true;
     };
-    httplib::Result result = client.send(http);
-    if (!result)
-        return fail(toError(result.error(), node));
-    answer.status = result->status;
-    answer.headers.assign(result->headers.begin(), result->headers.end());
+    httplib::Response response;
+    HttpExchange exchange(node, monotonicNow() + request.timeout);
+    ExchangeEnd end = exchange.run(http, response);
+    if (end != ExchangeEnd::Whole)
+        return fail(exchange.error(end, Step::Dispatch, node.toString()));
+    answer.status = response.status;
+    answer.headers.assign(response.headers.begin(), response.headers.end());
     answer.node = node;
     return answer;
 }
--- a/src/tool/nodeclient.h
+++ b/src/tool/nodeclient.h
@@ -20,7 +20,7 @@
     std::string contentType = "application/json";
     // Repeating it at another node is harmless although it may have arrived at the first one.
     bool idempotent = true;
-    Milliseconds timeout { 5000 }; // For each pause of the answer.
+    Milliseconds timeout { 5000 }; // For the whole answer.
     // Gets the body as it arrives, if set.
     std::function<void(std::string_view)> onBody = {};
 };
--- a/src/tool/percent.cpp
+++ b/src/tool/percent.cpp
@@ -4,15 +4,28 @@
 
 namespace Kumquatpick {
 
-std::string percentEncoded(std::string_view text)
-{
-    std::string encoded;
-    for (char c : text) {
-        bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+namespace {
+
+    bool isUnreserved(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
             || std::string_view("-._~").find(c) != std::string_view::npos;
-        encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
     }
-    return encoded;
+
+    bool isVisible(char c) { return c > ' ' && c <= '~'; }
+
+    template <typename IsPlain> std::string encodedUnless(IsPlain isPlain, std::string_view text)
+    {
+        std::string encoded;
+        for (char c : text)
+            encoded += isPlain(c) ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        return encoded;
+    }
+
 }
 
+std::string percentEncoded(std::string_view text) { return encodedUnless(isUnreserved, text); }
+
+std::string percentEncodedTarget(std::string_view text) { return encodedUnless(isVisible, text); }
+
 } // namespace Kumquatpick
