Take no stored answer of another node whose status no answer may have

What callers could see: a resend of a request at another node gets the answer that the first one stored; a status of 0 or 600 there, or a content type with a line end, went to the caller as it came.

Cause: the answer's fields were taken over from the message unchecked.

Change: the same rules as for a response's head; such an answer is Malformed, and the request may have run.

Evidence: Transport.TakesNoBrokenAnswerOfANode failed before and passes.

--- a/src/node/transport.cpp
+++ b/src/node/transport.cpp
@@ -1,12 +1,14 @@
 #include "node/transport.h"
 
 #include "base/logline.h"
+#include "base/responsehead.h"
 #include "node/codec.h"
 #include "node/nodeserver.h"
 #include "node/pendingcall.h"
 
 #include <algorithm>
 #include <deque>
+#include <fmt/format.h>
 #include <future>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -57,7 +59,8 @@
         return StoredAnswer::Phase::Unknown;
     }
 
-    StoredAnswer readAnswer(Rpc::StoredAnswer::Reader in)
+    // A finished answer goes to a caller as it is.
+    std::variant<StoredAnswer, Error> readAnswer(Rpc::StoredAnswer::Reader in)
     {
         StoredAnswer answer;
         answer.phase = fromWire(in.getPhase());
@@ -65,6 +68,10 @@
         answer.contentType = in.getContentType().cStr();
         auto body = in.getBody();
         answer.body.assign(reinterpret_cast<const char*>(body.begin()), body.size());
+        bool isSound = isFinalStatus(static_cast<unsigned>(answer.status)) && isFieldValue(answer.contentType);
+        if (answer.phase == StoredAnswer::Phase::Finished && !isSound)
+            return Error { ErrorCode::Malformed, Step::Answer, {},
+                fmt::format("no answer has status {} with this content type", answer.status) };
         return answer;
     }
 
@@ -148,9 +155,7 @@
             return call<StoredAnswer>(peer, Step::Answer, timeout, [key](Rpc::Node::Client& node) {
                 auto request = node.fetchAnswerRequest();
                 request.setKey({ key.c_str(), key.size() });
-                return request.send().then([](auto&& response) {
-                    return std::variant<StoredAnswer, Error>(readAnswer(response.getAnswer()));
-                });
+                return request.send().then([](auto&& response) { return readAnswer(response.getAnswer()); });
             });
         }
 
--- a/tests/node/transport_test.cpp
+++ b/tests/node/transport_test.cpp
@@ -178,6 +178,29 @@
         RC_ASSERT((error->code == ErrorCode::Malformed || error->code == ErrorCode::InvalidArgument));
 }
 
+// Guards against a stored answer being given to a caller whose status or content type no answer may have.
+TEST(Transport, TakesNoBrokenAnswerOfANode)
+{
+    StoredAnswer answer { StoredAnswer::Phase::Finished, 200, "text/plain", "body" };
+    PeerHandlers handlers;
+    handlers.storedAnswer = [&](const std::string&) { return answer; };
+    auto peer = startNode(nodeNamed("n1", 7), handlers);
+    auto node = startNode(nodeNamed("n2", 8));
+    auto fetch = [&] { return settle([&] { return node->fetchAnswer(peer->self().peerAddress, "k1", testTimeout); }); };
+    EXPECT_EQ(fetch().index(), 0U);
+    for (int status : { 0, 1, 99, 100, 101, 199, 600, 999, -200 }) {
+        answer.status = status;
+        auto fetched = fetch();
+        auto* error = std::get_if<Error>(&fetched);
+        ASSERT_TRUE(error) << status;
+        EXPECT_EQ(error->code, ErrorCode::Malformed);
+    }
+    answer = { StoredAnswer::Phase::Finished, 200, "text/plain\r\nOther: field", "body" };
+    EXPECT_EQ(fetch().index(), 1U);
+    answer = { StoredAnswer::Phase::Running, 0, "", "" };
+    EXPECT_EQ(fetch().index(), 0U) << "it has no status yet";
+}
+
 TEST(Transport, PassesCallsToHandlers)
 {
     PeerHandlers handlers;
