--- a/review/standin2/backend.cpp
+++ b/review/standin2/backend.cpp
@@ -10,6 +10,8 @@
     using namespace std::chrono_literals;
 
     constexpr auto heartbeat = 1200ms;
+    constexpr auto entryLifetime = 3 * heartbeat; // Without a beat.
+    constexpr auto crashTime = 4500ms;
     constexpr auto joinTime = 300ms;
     constexpr auto formationTime = 300ms;
     constexpr auto workTime = 15ms;
@@ -78,11 +80,12 @@
 {
     if (m_isDown.exchange(true))
         return;
+    m_server.stopListening(); // Before the connection that brought the request ends.
     std::thread([this, downFor] {
-        m_server.stopListening();
         std::string former = id();
-        std::this_thread::sleep_for(downFor);
+        std::this_thread::sleep_for(entryLifetime);
         m_store.put("keyed.servers", former);
+        std::this_thread::sleep_for(downFor - entryLifetime);
         {
             std::lock_guard lock(m_mutex);
             ++m_starts;
@@ -215,7 +218,8 @@
     }
     m_record.write("run " + call + " " + request.path() + " at " + id() + " of " + m_options.service);
     if (request.body == crashingBody) {
-        crash(3000ms);
+        ++m_crashes;
+        crash(crashTime);
         return false;
     }
     response.headers.emplace_back("Response-Seal", "seal-" + call);
--- a/review/standin2/backend.h
+++ b/review/standin2/backend.h
@@ -31,14 +31,19 @@
     const std::string& service() const { return m_options.service; }
     std::string id();
     int port() const { return m_server.port(); }
+    std::string address() const { return m_server.address(); }
+    // Handles a request; other addresses may lead to the same replica.
+    bool handle(const Message&, Connection&);
     // The requests that it began to run.
     std::vector<Arrival> runs();
     // Removes its entry for good; it goes on serving. Returns when the store acknowledged that.
     Clock::time_point withdraw();
-    // Ends as after a crash: its connections are reset and new ones refused for a while, then it starts again as another
-    // incarnation.
+    // Ends as after a crash: its connections end and new ones are refused, its entry expires, and after this time it
+    // starts again as another incarnation.
     void crash(std::chrono::milliseconds downFor);
 
+    size_t crashes() const { return m_crashes; }
+
     // Requests with this body end the replica that begins to run them.
     static constexpr const char* crashingBody = "crash";
 
@@ -56,7 +61,6 @@
     void beat();
     void announce();
     nlohmann::json status();
-    bool handle(const Message&, Connection&);
     std::pair<int, std::string> order(const Message&);
     std::pair<int, std::string> carryOut(const std::string& operation, const nlohmann::json& body);
     bool serve(const Message&, Connection&);
@@ -77,6 +81,7 @@
     int m_starts = 0;
     std::atomic<bool> m_isListed { true };
     std::atomic<bool> m_isDown { false };
+    std::atomic<size_t> m_crashes { 0 }; // By requests.
     Server m_server;
 };
 
--- a/review/standin2/store.cpp
+++ b/review/standin2/store.cpp
@@ -71,14 +71,14 @@
     }
 }
 
-bool Store::handle(const Message& request, Connection& connection)
+bool Store::handle(const Message& request, Connection& connection, const Translate& translate)
 {
     if (request.path() == "/log-append")
         return connection.write(append(request));
     if (request.path() == "/log-read")
-        return connection.write(read(request));
+        return connection.write(read(request, translate));
     if (request.path() == "/log-newest")
-        return connection.write(newest(request));
+        return connection.write(newest(request, translate));
     return connection.write(answer(404, {}));
 }
 
@@ -101,7 +101,7 @@
     return answer(200, { { "offset", offset }, { "endOffset", log.end() } });
 }
 
-std::string Store::read(const Message& request)
+std::string Store::read(const Message& request, const Translate& translate)
 {
     std::string name = request.parameter("topic");
     uint64_t from = std::stoull(request.parameter("from"));
@@ -114,19 +114,22 @@
         return answer(410, { { "startOffset", log.first } });
     std::string body = bigEndian(log.end(), 8) + bigEndian(log.first, 8);
     for (uint64_t i = from; i < log.end(); ++i) {
-        const std::string& bytes = log.records[i - log.first].bytes;
+        std::string bytes = log.records[i - log.first].bytes;
+        if (translate)
+            bytes = translate(std::move(bytes));
         body += bigEndian(bytes.size(), 4) + bytes;
     }
     return format({ "HTTP/1.1 200 OK", { { "Content-Type", "application/octet-stream" } }, body });
 }
 
-std::string Store::newest(const Message& request)
+std::string Store::newest(const Message& request, const Translate& translate)
 {
     std::lock_guard lock(m_mutex);
     const Topic& log = m_topics[request.parameter("topic")];
     json entries = json::array();
     for (const auto& [key, entry] : log.newest)
-        entries.push_back({ { "key", key }, { "offset", entry.first }, { "data", base64(entry.second) } });
+        entries.push_back({ { "key", key }, { "offset", entry.first },
+            { "data", base64(translate ? translate(entry.second) : entry.second) } });
     return answer(200, { { "entries", entries }, { "hasMore", false }, { "endOffset", log.end() } });
 }
 
--- a/review/standin2/store.h
+++ b/review/standin2/store.h
@@ -29,8 +29,10 @@
     // The newest record of a log without keys; empty if it has none.
     std::string newestRecord(const std::string& topic);
 
+    // Changes the entries that a reader gets.
+    using Translate = std::function<std::string(std::string)>;
     // Handles a call; other addresses may lead to the same store.
-    bool handle(const Message&, Connection&);
+    bool handle(const Message&, Connection&, const Translate& = {});
 
 private:
     struct Record {
@@ -47,8 +49,8 @@
     static bool isKeyed(const std::string& topic) { return topic.starts_with("keyed."); }
     void expire(Topic&, const std::string& name);
     std::string append(const Message&);
-    std::string read(const Message&);
-    std::string newest(const Message&);
+    std::string read(const Message&, const Translate&);
+    std::string newest(const Message&, const Translate&);
 
     std::chrono::seconds m_keep;
     std::mutex m_mutex;
