--- a/review/standin2/server.cpp
+++ b/review/standin2/server.cpp
@@ -15,27 +15,36 @@
 
 }
 
+// The port is bound once more without listening, so that it stays this server's own while it refuses connections.
 Server::Server(Handler handler)
     : m_handler(std::move(handler))
 {
+    bind();
     listen();
 }
 
-void Server::listen()
+int Server::bind()
 {
-    int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int on = 1;
-    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(m_port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bool isBound = ::bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0 && ::listen(listener, backlog) == 0;
-    if (!isBound)
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0)
         throw std::runtime_error("no loopback port is free");
-    ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
+    return descriptor;
+}
+
+void Server::listen()
+{
+    int listener = bind();
+    if (::listen(listener, backlog) != 0)
+        throw std::runtime_error("the loopback port is taken");
     m_listener = listener;
     std::thread([this, listener] { accept(listener); }).detach();
 }
--- a/review/standin2/server.h
+++ b/review/standin2/server.h
@@ -25,6 +25,7 @@
     void listenAgain();
 
 private:
+    int bind();
     void listen();
     void accept(int listener);
     void serve(int descriptor);
