--- a/review/standin2/backend.cpp
+++ b/review/standin2/backend.cpp
@@ -12,6 +12,7 @@
     constexpr auto heartbeat = 1200ms;
     constexpr auto entryLifetime = 3 * heartbeat; // Without a beat.
     constexpr auto crashTime = 4500ms;
+    constexpr auto silentPoll = 20ms;
     constexpr auto joinTime = 300ms;
     constexpr auto formationTime = 300ms;
     constexpr auto workTime = 15ms;
@@ -47,6 +48,12 @@
     return m_runs;
 }
 
+std::vector<Backend::Clock::time_point> Backend::crashes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
 void Backend::beat()
 {
     for (;; std::this_thread::sleep_for(heartbeat))
@@ -80,7 +87,10 @@
 {
     if (m_isDown.exchange(true))
         return;
-    m_server.stopListening(); // Before the connection that brought the request ends.
+    if (m_options.endsSilently)
+        m_server.refuseNew();
+    else
+        m_server.stopListening(); // Before the connection that brought the request ends.
     std::thread([this, downFor] {
         std::string former = id();
         std::this_thread::sleep_for(entryLifetime);
@@ -98,6 +108,12 @@
     }).detach();
 }
 
+void Backend::staySilent() const
+{
+    while (m_options.endsSilently && m_isDown)
+        std::this_thread::sleep_for(silentPoll);
+}
+
 std::string Backend::state() const
 {
     if (m_group->openAt)
@@ -121,8 +137,10 @@
 
 bool Backend::handle(const Message& request, Connection& connection)
 {
-    if (m_isDown)
+    if (m_isDown) {
+        staySilent();
         return false;
+    }
     std::string target = request.header("Target-Instance");
     bool isOther = !target.empty() && target != id();
     if (isOther) {
@@ -218,8 +236,12 @@
     }
     m_record.write("run " + call + " " + request.path() + " at " + id() + " of " + m_options.service);
     if (request.body == crashingBody) {
-        ++m_crashes;
+        {
+            std::lock_guard lock(m_mutex);
+            m_crashes.push_back(Clock::now());
+        }
         crash(crashTime);
+        staySilent();
         return false;
     }
     response.headers.emplace_back("Response-Seal", "seal-" + call);
--- a/review/standin2/backend.h
+++ b/review/standin2/backend.h
@@ -19,6 +19,7 @@
         std::string service;
         bool isPlain = false;
         int capacity = 17;
+        bool endsSilently = false; // Its open connections stay silent until it is back.
     };
     struct Arrival {
         std::string id; // Of the client's attempt.
@@ -38,11 +39,12 @@
     std::vector<Arrival> runs();
     // Removes its entry for good; it goes on serving. Returns when the store acknowledged that.
     Clock::time_point withdraw();
-    // Ends as after a crash: its connections end and new ones are refused, its entry expires, and after this time it
-    // starts again as another incarnation.
+    // Ends as after a crash: its connections end or fall silent, new ones are refused, its entry expires, and after this
+    // time it starts again as another incarnation.
     void crash(std::chrono::milliseconds downFor);
 
-    size_t crashes() const { return m_crashes; }
+    // When requests ended it.
+    std::vector<Clock::time_point> crashes();
 
     // Requests with this body end the replica that begins to run them.
     static constexpr const char* crashingBody = "crash";
@@ -64,6 +66,8 @@
     std::pair<int, std::string> order(const Message&);
     std::pair<int, std::string> carryOut(const std::string& operation, const nlohmann::json& body);
     bool serve(const Message&, Connection&);
+    // The connections of a crashed replica carry nothing any more.
+    void staySilent() const;
     bool stream(const Message&, Connection&, const std::string& head);
     bool isServing();
     std::string state() const;
@@ -73,6 +77,7 @@
     Options m_options;
     std::mutex m_mutex;
     std::vector<Arrival> m_runs;
+    std::vector<Clock::time_point> m_crashes; // By requests.
     std::optional<Group> m_group;
     std::string m_staged;
     uint64_t m_sequence = 0; // Orders accepted.
@@ -81,7 +86,6 @@
     int m_starts = 0;
     std::atomic<bool> m_isListed { true };
     std::atomic<bool> m_isDown { false };
-    std::atomic<size_t> m_crashes { 0 }; // By requests.
     Server m_server;
 };
 
--- a/review/standin2/server.cpp
+++ b/review/standin2/server.cpp
@@ -72,8 +72,7 @@
     m_connections.erase(&connection);
 }
 
-// A shutdown wakes the threads that read; each of them closes its own connection.
-void Server::stopListening()
+void Server::refuseNew()
 {
     std::lock_guard lock(m_mutex);
     if (m_listener < 0)
@@ -81,6 +80,13 @@
     ::shutdown(m_listener, SHUT_RDWR);
     ::close(m_listener);
     m_listener = -1;
+}
+
+// A shutdown wakes the threads that read; each of them closes its own connection.
+void Server::stopListening()
+{
+    refuseNew();
+    std::lock_guard lock(m_mutex);
     for (Connection* connection : m_connections)
         connection->shutdown();
 }
--- a/review/standin2/server.h
+++ b/review/standin2/server.h
@@ -23,6 +23,8 @@
     // Refuses new connections and resets those that are open, as after the end of its process or behind a cut.
     void stopListening();
     void listenAgain();
+    // Refuses new connections; the open ones stay.
+    void refuseNew();
 
 private:
     int bind();
