--- a/review/7/main.cpp
+++ b/review/7/main.cpp
@@ -1,10 +1,10 @@
 #include "../standin2/backend.h"
+#include "../standin2/case.h"
 #include "../standin2/client.h"
 #include "../standin2/config.h"
 #include "../standin2/gateway.h"
 
 #include <atomic>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
@@ -25,10 +25,6 @@
 constexpr auto formingTime = 8s;
 constexpr auto downTime = 4500ms; // Of crashed hosts.
 
-constexpr int exitHeld = 0;
-constexpr int exitBroken = 1;
-constexpr int exitNotRun = 2;
-
 class Case {
 public:
     Case(Record& record, const std::string& folder)
@@ -74,8 +70,9 @@
 private:
     void publish()
     {
-        nlohmann::json text = config(1, { route("reply", "streaming", "writers"), route("claim", "streaming", "writers-new") },
-            { modelService("writers"), modelService("writers-new") });
+        nlohmann::json text
+            = config(1, { route("reply", "streaming", "writers"), route("claim", "streaming", "writers-new") },
+                { modelService("writers"), modelService("writers-new") });
         m_store.put("keyed.op", "config", text.dump());
         m_allowed["/reply/x"].insert("writers");
         m_allowed["/claim/x"].insert("writers-new");
@@ -153,13 +150,4 @@
 
 }
 
-int main(int, char** arguments)
-{
-    const char* trouble = std::getenv("TROUBLE");
-    Record record(arguments[1]);
-    auto* test = new Case(record, arguments[2]); // Its threads run until the process ends.
-    int result = test->run(!trouble || std::string(trouble) != "0");
-    std::printf("%s\n", result == exitBroken ? "the rule was broken" : result == exitHeld ? "the rule held" : "not run");
-    std::fflush(nullptr);
-    std::_Exit(result);
-}
+int main(int, char** arguments) { return runCase<Case>(arguments); }
