--- a/review/standin2/backend.cpp
+++ b/review/standin2/backend.cpp
@@ -13,7 +13,9 @@
     constexpr auto entryLifetime = 3 * heartbeat; // Without a beat.
     constexpr auto crashTime = 4500ms;
     constexpr auto silentPoll = 20ms;
-    constexpr auto joinTime = 300ms;
+    // Of the model "pair": a staged one is joined in warmS, another one is loaded in a tenth of loadS before traffic.
+    constexpr auto warmTime = 1100ms;
+    constexpr auto loadTime = 1200ms;
     constexpr auto formationTime = 300ms;
     constexpr auto workTime = 15ms;
     constexpr auto eventPause = 40ms;
@@ -112,6 +114,8 @@
 {
     if (m_group->openAt)
         return Clock::now() < *m_group->openAt ? "ready" : "open";
+    if (m_group->isClosing && m_streams > 0)
+        return "closing";
     return Clock::now() < m_group->readyAt ? "joining" : "ready";
 }
 
@@ -183,12 +187,13 @@
     if (operation == "join") {
         if (epoch < m_epoch)
             return { 412, R"({"reason":"epoch"})" };
-        if (isMember)
-            return { 200, "{}" };
         std::vector<std::string> members = body["members"];
+        if (isMember)
+            return { members == m_group->members ? 200 : 412, R"({"reason":"epoch"})" };
         std::string self = m_starts == 0 ? m_options.id : m_options.id + "-" + std::to_string(m_starts);
         int rank = static_cast<int>(std::ranges::find(members, self) - members.begin());
         m_epoch = epoch;
+        auto joinTime = m_staged == body["modelId"] ? warmTime : loadTime;
         m_staged = body["modelId"];
         m_group = Group { name, epoch, members, m_staged, rank, Clock::now() + joinTime, std::nullopt };
         ++m_sequence;
@@ -203,8 +208,10 @@
         m_group.reset();
     else if (operation == "open" && !m_group->openAt)
         m_group->openAt = Clock::now() + formationTime;
-    else if (operation == "close")
+    else if (operation == "close") {
         m_group->openAt.reset();
+        m_group->isClosing = true;
+    }
     ++m_sequence;
     return { 202, "{}" };
 }
@@ -239,8 +246,12 @@
         return false;
     }
     response.headers.emplace_back("Response-Seal", "seal-" + call);
-    if (!m_options.isPlain)
-        return stream(request, connection, call);
+    if (!m_options.isPlain) {
+        ++m_streams;
+        bool isOpen = stream(request, connection, call);
+        --m_streams;
+        return isOpen;
+    }
     std::this_thread::sleep_for(workTime);
     response.body = "answer to " + call;
     return connection.write(format(response));
--- a/review/standin2/backend.h
+++ b/review/standin2/backend.h
@@ -56,6 +56,7 @@
         int rank = 0;
         Clock::time_point readyAt;
         std::optional<Clock::time_point> openAt;
+        bool isClosing = false;
     };
 
     void beat();
@@ -83,6 +84,7 @@
     uint64_t m_epoch = 0;
     int m_starts = 0;
     std::atomic<bool> m_isDown { false };
+    std::atomic<int> m_streams { 0 }; // In progress.
     Server m_server;
 };
 
