Plan all services in one place, and log the planner's lines of each

What operators saw: with two services of models, requests ran at the wrong one, and the logs could not say why.

Change: each service gets its line a second, and the lines of orders and health name the service. FleetPlanner holds the planners of one term, FleetDemand the demand and servingTargets() the choice of targets, so that tests can play several services in event time without a network.

--- /dev/null
+++ b/src/fleet/fleetplanner.cpp
@@ -0,0 +1,33 @@
+#include "fleet/fleetplanner.h"
+
+namespace Kumquatpick {
+
+FleetPlanner::FleetPlanner(uint64_t fencing)
+    : m_fencing(fencing)
+{
+}
+
+std::vector<const ServiceSpec*> FleetPlanner::beginRound(const FleetConfig& config)
+{
+    std::vector<const ServiceSpec*> services;
+    for (const ServiceSpec& service : config.services) {
+        if (service.servesModels())
+            services.push_back(&service);
+    }
+    return services;
+}
+
+ReplicaPlanner& FleetPlanner::plannerOf(std::string_view service)
+{
+    if (ReplicaPlanner* planner = find(service))
+        return *planner;
+    return m_planners.try_emplace(std::string(service), m_fencing).first->second;
+}
+
+ReplicaPlanner* FleetPlanner::find(std::string_view service)
+{
+    auto found = m_planners.find(service);
+    return found == m_planners.end() ? nullptr : &found->second;
+}
+
+} // namespace Kumquatpick
--- /dev/null
+++ b/src/fleet/fleetplanner.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "fleet/replicaplanner.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Kumquatpick {
+
+// The replica planners of all services during one term of the controller. Not thread-safe.
+class FleetPlanner {
+public:
+    // fencing: the fencing token of the controller's lease.
+    explicit FleetPlanner(uint64_t fencing);
+
+    // The services that serve models, in the order in which to plan them.
+    std::vector<const ServiceSpec*> beginRound(const FleetConfig&);
+    // The planner of the service, made on first use.
+    ReplicaPlanner& plannerOf(std::string_view service);
+    // nullptr if nothing was planned for the service in this term.
+    ReplicaPlanner* find(std::string_view service);
+
+private:
+    uint64_t m_fencing;
+    std::map<std::string, ReplicaPlanner, std::less<>> m_planners; // By service.
+};
+
+} // namespace Kumquatpick
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -65,7 +65,7 @@
 void ControllerLoop::tick(uint64_t fencing)
 {
     if (fencing != m_fencing) {
-        m_planners.clear();
+        m_planner = std::make_unique<FleetPlanner>(fencing);
         m_contacts.clear();
         m_fencing = fencing;
     }
@@ -76,24 +76,23 @@
     }
     HostIdSet hostsToPoll;
     HostIdSet hostsToPollLater;
-    for (const ServiceSpec& service : m_context.routes->config().services) {
-        if (!service.servesModels())
-            continue;
-        planService(service, fencing);
-        const ReplicaPlanner& planner = *m_planners.at(service.name);
+    bool isSummaryDue = m_context.now() - m_summaryAt >= summaryPeriod;
+    if (isSummaryDue)
+        m_summaryAt = m_context.now();
+    for (const ServiceSpec* service : m_planner->beginRound(m_context.routes->config())) {
+        planService(*service, fencing, isSummaryDue);
+        const ReplicaPlanner& planner = m_planner->plannerOf(service->name);
         hostsToPoll.insert(planner.hostsToPoll().begin(), planner.hostsToPoll().end());
         hostsToPollLater.insert(planner.hostsToPollLater().begin(), planner.hostsToPollLater().end());
     }
     pollHosts(hostsToPoll, hostsToPollLater);
 }
 
-void ControllerLoop::planService(const ServiceSpec& service, uint64_t fencing)
+void ControllerLoop::planService(const ServiceSpec& service, uint64_t fencing, bool isSummaryDue)
 {
     LoopTime::Section section(m_context.loopTime, LoopPart::Planning);
-    auto& planner = m_planners[service.name];
-    if (!planner)
-        planner = std::make_unique<ReplicaPlanner>(fencing);
-    auto wanted = wantedReplicas(service);
+    ReplicaPlanner& planner = m_planner->plannerOf(service.name);
+    auto wanted = m_demand.wantedReplicas(service, m_context.hosts);
     bool anyCallSeen = m_context.anyCallSeen || m_peers.anyCallSeen();
     ProgressTimes progress = progressTimes();
     HostIdSet stalledHosts = stalledHeads(service, progress);
@@ -107,29 +106,10 @@
             return found == progress.end() ? std::nullopt : std::optional(found->second);
         },
         m_context.reach.isCutOff(service.name) };
-    auto orders = planner->plan(input);
-    logHealthChanges(*planner);
-    if (input.now - m_summaryAt >= summaryPeriod) {
-        m_summaryAt = input.now;
-        auto summary = planner->summary(input);
-        std::map<std::string, double> inFlight;
-        for (const ModelSpec& model : service.models)
-            inFlight[model.name] = m_demand.at(model.name).demandedSlots();
-        for (HealthState state : { HealthState::Whole, HealthState::InDoubt, HealthState::Broken })
-            m_context.metrics.set(
-                fmt::format("replicas_by_health{{service=\"{}\",health=\"{}\"}}", service.name, name(state)),
-                summary.health[state]);
-        m_context.log.write("replicas",
-            { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
-                { "wanted", wanted }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
-                { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
-                { "in_doubt", summary.health[HealthState::InDoubt] }, { "free_by_domain", summary.freeByDomain },
-                { "planned_by_domain", summary.plannedByDomain }, { "free_by_reason", summary.freeByReason } });
-        for (const auto& [reason, hosts] : summary.freeByReason) {
-            m_context.metrics.count(
-                fmt::format("free_host_seconds_total{{reason=\"{}\"}}", reason), hosts * summaryPeriod.count());
-        }
-    }
+    auto orders = planner.plan(input);
+    logHealthChanges(service.name, planner);
+    if (isSummaryDue)
+        summarize(input, planner);
     for (HostOrder& order : orders) {
         auto address = m_addresses.find(order.hostId);
         if (address != m_addresses.end())
@@ -138,6 +118,30 @@
     }
 }
 
+// Once a second, for the logs and the metrics.
+void ControllerLoop::summarize(const PlannerInput& input, const ReplicaPlanner& planner)
+{
+    const ServiceSpec& service = input.service;
+    auto summary = planner.summary(input);
+    std::map<std::string, double> inFlight;
+    for (const ModelSpec& model : service.models)
+        inFlight[model.name] = m_demand.demandedSlots(service, model);
+    for (HealthState state : { HealthState::Whole, HealthState::InDoubt, HealthState::Broken })
+        m_context.metrics.set(
+            fmt::format("replicas_by_health{{service=\"{}\",health=\"{}\"}}", service.name, name(state)),
+            summary.health[state]);
+    m_context.log.write("replicas",
+        { { "service", service.name }, { "open", summary.open }, { "forming", summary.forming },
+            { "wanted", input.wantedReplicas }, { "in_flight", inFlight }, { "dissolving", summary.dissolving },
+            { "free_hosts", summary.freeHosts }, { "loads", summary.loads }, { "shift", summary.shift },
+            { "in_doubt", summary.health[HealthState::InDoubt] }, { "free_by_domain", summary.freeByDomain },
+            { "planned_by_domain", summary.plannedByDomain }, { "free_by_reason", summary.freeByReason } });
+    for (const auto& [reason, hosts] : summary.freeByReason) {
+        m_context.metrics.count(
+            fmt::format("free_host_seconds_total{{reason=\"{}\"}}", reason), hosts * summaryPeriod.count());
+    }
+}
+
 // When the streams of each head last went on at any node.
 ControllerLoop::ProgressTimes ControllerLoop::progressTimes() const
 {
@@ -174,7 +178,7 @@
     return stalled;
 }
 
-void ControllerLoop::logHealthChanges(ReplicaPlanner& planner)
+void ControllerLoop::logHealthChanges(const std::string& service, ReplicaPlanner& planner)
 {
     MonotonicTime now = m_context.now();
     auto ageMs = [now](std::optional<MonotonicTime> at) {
@@ -188,8 +192,8 @@
         m_context.metrics.count(fmt::format("replica_health_changes_total{{to=\"{}\",reason=\"{}\"}}",
             name(change.health.state), name(change.health.reason)));
         m_context.log.write("replica_health",
-            { { "replica", change.replica }, { "epoch", change.epoch }, { "model", change.model },
-                { "before", name(change.before) }, { "health", name(change.health.state) },
+            { { "service", service }, { "replica", change.replica }, { "epoch", change.epoch },
+                { "model", change.model }, { "before", name(change.before) }, { "health", name(change.health.state) },
                 { "reason", name(change.health.reason) }, { "host", change.health.hostId }, { "suspects", suspects },
                 { "progress_age_ms", ageMs(change.evidence.progressAt) },
                 { "progress_valid_ms", change.evidence.progressValidity.count() },
@@ -198,43 +202,16 @@
     }
 }
 
+// By the requests in flight at all nodes and those that any of them refused.
 void ControllerLoop::updateDemand()
 {
     const NodeLoads* others = m_loads.others();
-    m_unmetDemandOfOthers = others ? others->unmetDemand : m_peers.unmetDemandOfOthers();
-    for (const ServiceSpec& service : m_context.routes->config().services) {
-        for (const ModelSpec& model : service.models)
-            updateDemand(service.name, model.name);
-    }
-}
-
-void ControllerLoop::updateDemand(const std::string& service, const std::string& model)
-{
-    double slots = m_context.balancer.inFlightOf(service, model) + m_context.demand[model].unmetDemand;
-    auto unmet = m_unmetDemandOfOthers.find(model);
-    slots += unmet == m_unmetDemandOfOthers.end() ? 0 : unmet->second;
-    m_demand[model].observe(slots);
-}
-
-std::map<std::string, double, std::less<>> ControllerLoop::wantedReplicas(const ServiceSpec& service) const
-{
-    std::map<std::string, double, std::less<>> wanted;
-    double slots = 0;
-    double totalWorkShare = 0;
-    for (const ModelSpec& model : service.models) {
-        slots += m_demand.at(model.name).demandedSlots();
-        totalWorkShare += model.workShare;
-    }
-    // The shares configured by operators apply until the calls in flight fill the slots of one replica.
-    bool hasMeasuredDemand = slots >= service.capacity;
-    auto hosts = static_cast<double>(std::ranges::count_if(
-        m_context.hosts.hosts(), [&](const auto& entry) { return entry.second.service == service.name; }));
-    for (const ModelSpec& model : service.models) {
-        // Hosts are assigned in proportion to the configured work share of a model.
-        double expected = totalWorkShare > 0 ? hosts * model.workShare / totalWorkShare / model.hostsPerReplica : 1;
-        wanted[model.name] = hasMeasuredDemand ? m_demand.at(model.name).replicas(service.capacity) : expected;
-    }
-    return wanted;
+    UnmetDemand unmetDemand = others ? others->unmetDemand : m_peers.unmetDemandOfOthers();
+    for (const auto& [model, demand] : m_context.demand)
+        unmetDemand[model] += demand.unmetDemand;
+    m_demand.observe(
+        m_context.routes->config(),
+        [this](auto service, auto model) { return m_context.balancer.inFlightOf(service, model); }, unmetDemand);
 }
 
 // Heads of replicas that other nodes report as stalled.
@@ -436,8 +413,9 @@
         = co_await callHost(order.hostId, address, m_context.platform.order(order, fencing), orderTimeout, Step::Order);
     auto* response = std::get_if<HttpResponse>(&answer);
     OrderResult result = response ? m_context.platform.orderResult(*response) : OrderResult::Lost;
-    nlohmann::json fields { { "order", name(order.kind) }, { "host", order.hostId }, { "replica", order.replica },
-        { "epoch", order.epoch }, { "model", order.model }, { "fencing", fencing }, { "result", name(result) } };
+    nlohmann::json fields { { "order", name(order.kind) }, { "host", order.hostId }, { "service", service },
+        { "replica", order.replica }, { "epoch", order.epoch }, { "model", order.model }, { "fencing", fencing },
+        { "result", name(result) } };
     if (!response)
         fields["problem"] = describe(std::get<Error>(answer));
     else if (response->result_int() >= 400)
@@ -448,9 +426,9 @@
     m_contacts[order.hostId].polledAt = {}; // The next status request is due at once.
     if (result == OrderResult::Gone)
         m_contacts[order.hostId].hasEnded = true; // Its entry remains listed until it expires.
-    auto planner = m_planners.find(service);
-    if (fencing == m_fencing && planner != m_planners.end())
-        planner->second->orderEnded(order, result, m_context.now());
+    ReplicaPlanner* planner = fencing == m_fencing && m_planner ? m_planner->find(service) : nullptr;
+    if (planner)
+        planner->orderEnded(order, result, m_context.now());
 }
 
 // Tells the other nodes of a status that is ahead of the list, when it changes and now and then.
--- a/src/gateway/controllerloop.h
+++ b/src/gateway/controllerloop.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "fleet/replicademand.h"
-#include "fleet/replicaplanner.h"
+#include "fleet/fleetdemand.h"
+#include "fleet/fleetplanner.h"
 #include "gateway/context.h"
 #include "gateway/lease.h"
 #include "gateway/loadexchange.h"
@@ -55,10 +55,9 @@
     };
 
     void tick(uint64_t fencing);
-    void planService(const ServiceSpec&, uint64_t fencing);
+    void planService(const ServiceSpec&, uint64_t fencing, bool isSummaryDue);
     void updateDemand();
-    void updateDemand(const std::string& service, const std::string& model);
-    std::map<std::string, double, std::less<>> wantedReplicas(const ServiceSpec&) const;
+    void summarize(const PlannerInput&, const ReplicaPlanner&);
     HostContact contact(std::string_view hostId) const;
     using HostIdSet = std::set<std::string, std::less<>>;
     void pollHosts(const HostIdSet& hostsToPoll, const HostIdSet& hostsToPollLater);
@@ -70,7 +69,7 @@
     using ProgressTimes = std::map<std::string, MonotonicTime, std::less<>>;
     ProgressTimes progressTimes() const;
     HostIdSet stalledHeads(const ServiceSpec&, const ProgressTimes&);
-    void logHealthChanges(ReplicaPlanner&);
+    void logHealthChanges(const std::string& service, ReplicaPlanner&);
     asio::awaitable<Settled<HttpResponse>> pollThroughPeers(std::string hostId, Address);
     asio::awaitable<void> pollThroughPeer(std::string peer, std::string hostId, Address, std::shared_ptr<RelayedPoll>);
     asio::awaitable<Settled<HttpResponse>> callHost(std::string hostId, Address, HttpRequest, Milliseconds, Step);
@@ -83,14 +82,13 @@
     ControllerLease& m_lease;
     Peers& m_peers;
     const LoadExchange& m_loads;
-    uint64_t m_fencing = 0; // Fencing number of the planners.
-    std::map<std::string, std::unique_ptr<ReplicaPlanner>> m_planners; // By service.
+    uint64_t m_fencing = 0; // Fencing number of the planner.
+    std::unique_ptr<FleetPlanner> m_planner; // nullptr before this node's first term.
     std::map<std::string, Contact, std::less<>> m_contacts;
     // Addresses of all hosts listed since the lease began, including removed ones.
     std::map<std::string, Address, std::less<>> m_addresses;
     std::map<std::string, PublishedStatus, std::less<>> m_published; // By host.
-    std::map<std::string, double, std::less<>> m_unmetDemandOfOthers; // Slots, by model.
-    std::map<std::string, ReplicaDemand, std::less<>> m_demand; // By model.
+    FleetDemand m_demand;
     ProgressTimes m_suspectedSince; // Heads that this node itself avoids.
     MonotonicTime m_summaryAt {};
     uint64_t m_addressesVersion = UINT64_MAX; // Version of the host table that m_addresses was updated from.
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -1,3 +1,4 @@
+#include "fleet/servingtargets.h"
 #include "gateway/gateway.h"
 
 #include <algorithm>
@@ -27,8 +28,6 @@
 
 }
 
-// A replica takes requests while its head is open, all members are at the same epoch and none of them is known to be
-// leaving.
 void Gateway::refreshTargets()
 {
     MonotonicTime begunAt = m_context.now();
@@ -40,36 +39,15 @@
     m_targetsHostVersion = m_context.hosts.version();
     m_targetsRoutes = m_context.routes.get();
     m_targetsEvacuations = m_context.evacuations.version();
-    auto isEvacuated = [this](const Host& host) { return m_context.evacuations.isEvacuated(host.zone); };
     const FleetConfig& config = m_context.routes->config();
     for (const ServiceSpec& service : config.services) {
         if (service.servesModels())
             m_context.forecast.setTiming(service.name, service.timing);
     }
-    std::vector<ServingTarget> targets;
-    m_retiringHeads.clear();
-    for (const ReplicaView& replica : m_context.hosts.replicas()) {
-        const ServiceSpec* service = config.service(replica.service);
-        const ModelSpec* model = service ? service->model(replica.model) : nullptr;
-        bool isOpen = replica.head && replica.head->status.membership->state == MemberState::Open;
-        bool isLeaving = std::ranges::any_of(replica.members, [](const Host* member) { return member->draining; });
-        bool isClosing = replica.head && replica.head->status.membership->state == MemberState::Closing;
-        if (isClosing && !isLeaving)
-            m_retiringHeads.insert(replica.head->id);
-        if (!model || !isOpen || isLeaving || !replica.isComplete(model->hostsPerReplica))
-            continue;
-        // Without capacity it gets nothing new, and what it runs is still watched.
-        uint32_t capacity = service->capacity > 0 ? service->capacity : replica.head->capacity;
-        if (std::ranges::any_of(replica.members, [&](const Host* member) { return isEvacuated(*member); }))
-            capacity = 0;
-        targets.push_back({ replica.head->id, service->name, model->name, replica.head->zone, capacity, model->pace });
-    }
-    for (const auto& [id, host] : m_context.hosts.hosts()) {
-        const ServiceSpec* service = config.service(host.service);
-        if (service && !service->servesModels() && !host.draining)
-            targets.push_back({ id, service->name, {}, host.zone, isEvacuated(host) ? 0 : host.capacity, 1 });
-    }
-    m_context.balancer.setTargets(std::move(targets));
+    ServingTargets serving = servingTargets(
+        config, m_context.hosts, [this](std::string_view zone) { return m_context.evacuations.isEvacuated(zone); });
+    m_retiringHeads = std::move(serving.retiringHeads);
+    m_context.balancer.setTargets(std::move(serving.targets));
     MonotonicTime now = m_context.now();
     m_nextTargets = now + std::min<MonotonicTime::duration>((now - begunAt) * pauseRatio, maxTargetsPause);
 }
