Count the demand of each service by itself

What callers could see: with two services that serve models of the same names, hosts are given to models that their own callers do not need, because those of another service are refused.

Cause: refused calls, the controller's demand and the shares of teams were kept by the model's name alone.

Change: ServiceModel is the key of all of them, also between nodes: a new field names the service. Nodes of earlier versions ignore it, and their field is ignored, so refused calls count among nodes of one version only while versions are mixed.

--- a/src/fleet/fleetdemand.cpp
+++ b/src/fleet/fleetdemand.cpp
@@ -10,9 +10,10 @@
 {
     for (const ServiceSpec& service : config.services) {
         for (const ModelSpec& model : service.models) {
-            auto unmet = unmetDemand.find(model.name);
+            ServiceModel key { service.name, model.name };
+            auto unmet = unmetDemand.find(key);
             double unmetSlots = unmet == unmetDemand.end() ? 0 : unmet->second;
-            m_demand[model.name].observe(inFlight(service.name, model.name) + unmetSlots);
+            m_demand[key].observe(inFlight(service.name, model.name) + unmetSlots);
         }
     }
 }
@@ -33,15 +34,21 @@
     for (const ModelSpec& model : service.models) {
         // Hosts are assigned in proportion to the configured work share of a model.
         double expected = totalWorkShare > 0 ? hosts * model.workShare / totalWorkShare / model.hostsPerReplica : 1;
-        wanted[model.name] = hasMeasuredDemand ? m_demand.at(model.name).replicas(service.capacity) : expected;
+        wanted[model.name] = hasMeasuredDemand ? demandFor(service, model).replicas(service.capacity) : expected;
     }
     return wanted;
 }
 
-double FleetDemand::demandedSlots(const ServiceSpec&, const ModelSpec& model) const
+double FleetDemand::demandedSlots(const ServiceSpec& service, const ModelSpec& model) const
 {
-    auto found = m_demand.find(model.name);
-    return found == m_demand.end() ? 0 : found->second.demandedSlots();
+    return demandFor(service, model).demandedSlots();
+}
+
+// None while it was not observed.
+ReplicaDemand FleetDemand::demandFor(const ServiceSpec& service, const ModelSpec& model) const
+{
+    auto found = m_demand.find(ServiceModel { service.name, model.name });
+    return found == m_demand.end() ? ReplicaDemand() : found->second;
 }
 
 } // namespace Kumquatpick
--- a/src/fleet/fleetdemand.h
+++ b/src/fleet/fleetdemand.h
@@ -2,6 +2,7 @@
 
 #include "fleet/config.h"
 #include "fleet/replicademand.h"
+#include "fleet/servicemodel.h"
 
 #include <functional>
 #include <map>
@@ -12,9 +13,6 @@
 
 class HostTable;
 
-// Slots that refused calls would have occupied, by model.
-using UnmetDemand = std::map<std::string, double, std::less<>>;
-
 // How many replicas of each model the traffic of each service needs. Not thread-safe.
 class FleetDemand {
 public:
@@ -27,7 +25,9 @@
     double demandedSlots(const ServiceSpec&, const ModelSpec&) const;
 
 private:
-    std::map<std::string, ReplicaDemand, std::less<>> m_demand; // By model.
+    ReplicaDemand demandFor(const ServiceSpec&, const ModelSpec&) const;
+
+    std::map<ServiceModel, ReplicaDemand> m_demand;
 };
 
 } // namespace Kumquatpick
--- a/src/fleet/loadaggregator.cpp
+++ b/src/fleet/loadaggregator.cpp
@@ -53,8 +53,8 @@
             continue;
         for (const auto& [host, count] : report.loads.inFlight)
             total.inFlight[host] += count;
-        for (const auto& [model, slots] : report.loads.unmetDemand)
-            total.unmetDemand[model] += slots;
+        for (const auto& [key, slots] : report.loads.unmetDemand)
+            total.unmetDemand[key] += slots;
         addProgress(total.progressAges, report.loads.progressAges, now - report.receivedAt);
     }
 }
--- a/src/fleet/loadaggregator.h
+++ b/src/fleet/loadaggregator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/servicemodel.h"
 
 #include <cstdint>
 #include <map>
@@ -21,7 +22,7 @@
 // What a node, or all nodes of a zone, use and lack.
 struct NodeLoads {
     LoadsByHost inFlight;
-    std::map<std::string, double, std::less<>> unmetDemand; // Slots that refused calls would have occupied, by model.
+    UnmetDemand unmetDemand;
 
     // Since a running stream of this host last went on at any of the nodes.
     AgesByHost progressAges {};
--- a/src/fleet/nodemessage.h
+++ b/src/fleet/nodemessage.h
@@ -5,6 +5,7 @@
 #include "fleet/hostfact.h"
 #include "fleet/nodetable.h"
 #include "fleet/ratelimits.h"
+#include "fleet/servicemodel.h"
 #include "suspicion/suspicion.h"
 
 #include <cstdint>
@@ -43,7 +44,7 @@
     bool anyCallSeen = false; // Any node has seen a call.
     uint32_t fleetNodes = 0; // Among which the sender divides limits, with those lost lately; 0 if it does not know.
     std::map<std::string, uint32_t, std::less<>> inFlight; // By host; only in a full mesh.
-    std::map<std::string, double, std::less<>> unmetDemand; // Slots, by model; only in a full mesh.
+    UnmetDemand unmetDemand; // Only in a full mesh.
     std::map<std::string, Milliseconds, std::less<>> progressAges; // See NodeLoads; only in a full mesh.
     bool isProgressReadable = true; // Unreadable ages are ignored.
     std::vector<HostRateLimit> limits;
--- a/src/gateway/callforwarder.cpp
+++ b/src/gateway/callforwarder.cpp
@@ -226,7 +226,7 @@
 {
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_arrived);
     bool isShared = m_team && isModelKnown() && !m_context.disabledMechanisms.contains(Mechanism::TeamShares);
-    TeamShares* shares = isShared ? &m_context.teamShares[m_call.model] : nullptr;
+    TeamShares* shares = isShared ? &m_context.teamShares[{ m_service, m_call.model }] : nullptr;
     std::vector<GateStep> steps = gateSteps({ m_route->targetLatency, m_route->targetGap, elapsed, timeLeft(),
         shares && shares->isOverShare(m_team->name, now), m_isCallerRetry, refusesLateCalls,
         m_context.forecast.fastestMs(m_service, m_call.model, now) });
@@ -335,7 +335,7 @@
                 m_lastError = m_isRefusedByForecast ? "no replica answers in time" : "no replica has a free slot";
             // Callers may name any number of models that do not exist.
             if (isModelKnown() && m_possibleRuns == 0) {
-                ++m_context.demand[m_call.model].refusedSinceTick;
+                ++m_context.demand[{ m_service, m_call.model }].refusedSinceTick;
                 m_context.metrics.count(
                     fmt::format("calls_without_place_total{{reason=\"{}\"}}", m_isRefusedByForecast ? "late" : "full"));
             }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -15,6 +15,7 @@
 #include "fleet/retrydetector.h"
 #include "fleet/routetable.h"
 #include "fleet/serverreach.h"
+#include "fleet/servicemodel.h"
 #include "fleet/stopplan.h"
 #include "fleet/teamshares.h"
 #include "gateway/activecall.h"
@@ -87,10 +88,10 @@
     uint64_t incarnation; // Identifies this run of the process.
     SuspicionState suspicion; // Requests that end the servers which run them; hosts by their incarnations.
     std::set<std::shared_ptr<ActiveCall>> calls;
-    std::map<std::string, ModelDemand, std::less<>> demand; // By model.
+    std::map<ServiceModel, ModelDemand> demand;
     AnswerTimes answerTimes;
     FirstEventForecast forecast;
-    std::map<std::string, TeamShares, std::less<>> teamShares; // By model.
+    std::map<ServiceModel, TeamShares> teamShares;
     std::map<std::string, RetryDetector, std::less<>> callerTimeouts; // Timeouts of callers, by route name.
     bool anyCallSeen = false;
     std::optional<StopPlan> stopPlan; // Set once the node was told to stop.
--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -207,8 +207,8 @@
 {
     const NodeLoads* others = m_loads.others();
     UnmetDemand unmetDemand = others ? others->unmetDemand : m_peers.unmetDemandOfOthers();
-    for (const auto& [model, demand] : m_context.demand)
-        unmetDemand[model] += demand.unmetDemand;
+    for (const auto& [key, demand] : m_context.demand)
+        unmetDemand[key] += demand.unmetDemand;
     m_demand.observe(
         m_context.routes->config(),
         [this](auto service, auto model) { return m_context.balancer.inFlightOf(service, model); }, unmetDemand);
--- a/src/gateway/gatewaytargets.cpp
+++ b/src/gateway/gatewaytargets.cpp
@@ -112,7 +112,7 @@
 void Gateway::updateDemand()
 {
     double perSecond = 1000.0 / static_cast<double>(maintenancePeriod.count());
-    for (auto& [model, demand] : m_context.demand) {
+    for (auto& [key, demand] : m_context.demand) {
         demand.unmetDemand
             += demandSmoothing * (demand.refusedSinceTick * perSecond * slotSecondsPerRefusal - demand.unmetDemand);
         demand.refusedSinceTick = 0;
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -3,6 +3,7 @@
 #include "base/document.h"
 #include "base/documentreader.h"
 #include "gateway/asio.h"
+#include "gateway/demandfield.h"
 #include "gateway/peernumbers.h"
 #include "gateway/progressfield.h"
 #include "gateway/task.h"
@@ -32,8 +33,7 @@
     std::string encodeLoads(const char* field, std::string_view name, const NodeLoads& loads)
     {
         json document { { field, name }, { "loads", loads.inFlight } };
-        if (!loads.unmetDemand.empty())
-            document["unmet"] = loads.unmetDemand;
+        encodeUnmetDemand(document, loads.unmetDemand);
         encodeProgress(document, loads.progressAges);
         return encodeCbor(document);
     }
@@ -54,10 +54,7 @@
         NodeLoads loads;
         for (const auto& [host, slots] : document["loads"].fields())
             loads.inFlight.emplace(host, static_cast<uint32_t>(slots.integer(maxPeerSlots)));
-        if (!document["unmet"].exists())
-            return loads;
-        for (const auto& [model, slots] : document["unmet"].fields())
-            loads.unmetDemand.emplace(model, slots.number(0, static_cast<double>(maxPeerSlots)));
+        loads.unmetDemand = decodeUnmetDemand(document);
         return loads;
     }
 
@@ -90,9 +87,9 @@
 NodeLoads LoadExchange::ownLoads() const
 {
     NodeLoads loads { m_context.balancer.inFlight(), {}, m_context.ownProgressAges() };
-    for (const auto& [model, demand] : m_context.demand) {
+    for (const auto& [key, demand] : m_context.demand) {
         if (demand.unmetDemand > 0)
-            loads.unmetDemand.emplace(model, demand.unmetDemand);
+            loads.unmetDemand.emplace(key, demand.unmetDemand);
     }
     return loads;
 }
--- a/src/gateway/nodecodec.cpp
+++ b/src/gateway/nodecodec.cpp
@@ -2,6 +2,7 @@
 
 #include "base/document.h"
 #include "base/documentreader.h"
+#include "gateway/demandfield.h"
 #include "gateway/evacuationcodec.h"
 #include "gateway/peernumbers.h"
 #include "gateway/progressfield.h"
@@ -251,16 +252,6 @@
         return result;
     }
 
-    std::map<std::string, double, std::less<>> decodeDemand(const DocumentReader& document)
-    {
-        std::map<std::string, double, std::less<>> result;
-        if (!document.exists())
-            return result;
-        for (const auto& [model, slots] : document.fields())
-            result.emplace(model, slots.number(0, static_cast<double>(maxPeerSlots)));
-        return result;
-    }
-
     std::optional<NodeTable::BucketHashes> decodeHashes(const DocumentReader& list)
     {
         if (!list.exists())
@@ -294,7 +285,7 @@
         message.fleetNodes
             = std::min(static_cast<uint32_t>(document["fleet_nodes"].integer(UINT32_MAX, 0)), maxFleetNodes);
         message.inFlight = decodeInFlight(document["in_flight"]);
-        message.unmetDemand = decodeDemand(document["unmet"]);
+        message.unmetDemand = decodeUnmetDemand(document);
         auto progress = decodeProgress(document);
         message.isProgressReadable = progress.has_value();
         message.progressAges = std::move(progress).value_or(AgesByHost {});
@@ -343,8 +334,7 @@
         document["more"] = true;
     if (!message.inFlight.empty())
         document["in_flight"] = message.inFlight;
-    if (!message.unmetDemand.empty())
-        document["unmet"] = message.unmetDemand;
+    encodeUnmetDemand(document, message.unmetDemand);
     encodeProgress(document, message.progressAges);
     if (!message.unreachable.empty())
         document["unreachable"] = message.unreachable;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -95,8 +95,8 @@
     if (!isFullMesh())
         return;
     message.inFlight = m_context.balancer.inFlight();
-    for (const auto& [model, demand] : m_context.demand)
-        message.unmetDemand[model] = demand.unmetDemand;
+    for (const auto& [key, demand] : m_context.demand)
+        message.unmetDemand[key] = demand.unmetDemand;
     message.progressAges = m_context.ownProgressAges();
 }
 
@@ -273,9 +273,9 @@
     return total;
 }
 
-std::map<std::string, double, std::less<>> Peers::unmetDemandOfOthers() const
+UnmetDemand Peers::unmetDemandOfOthers() const
 {
-    std::map<std::string, double, std::less<>> total;
+    UnmetDemand total;
     for (const auto& [address, load] : m_peerLoads)
         addAll(total, load.unmetDemand);
     return total;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -63,7 +63,7 @@
     bool isFullMesh() const { return m_exchange.isFullMesh(); }
     // Sums of what the other nodes of a full mesh reported.
     std::map<std::string, uint32_t, std::less<>> inFlightOfOthers() const;
-    std::map<std::string, double, std::less<>> unmetDemandOfOthers() const;
+    UnmetDemand unmetDemandOfOthers() const;
     // When a stream of each host last went on at any other node of a full mesh.
     AgesByHost progressOfOthers() const;
     bool anyCallSeen() const { return m_exchange.anyCallSeen(); }
@@ -87,7 +87,7 @@
     // What a node of a full mesh reported of its own calls.
     struct PeerLoad {
         std::map<std::string, uint32_t, std::less<>> inFlight;
-        std::map<std::string, double, std::less<>> unmetDemand;
+        UnmetDemand unmetDemand;
         AgesByHost progressAges;
         MonotonicTime receivedAt {};
     };
--- a/tests/fleet/loadaggregator_test.cpp
+++ b/tests/fleet/loadaggregator_test.cpp
@@ -59,4 +59,17 @@
     EXPECT_EQ(aggregator.zoneTotal(start).progressAges.at("head-2"), Milliseconds(3900));
 }
 
+// Guards against refused calls of one service that count for another one with a model of the same name.
+TEST(LoadAggregator, KeepsTheUnmetDemandOfServicesApart)
+{
+    LoadAggregator aggregator;
+    ServiceModel writers { "writers", "large" };
+    ServiceModel writersNew { "writers-new", "large" };
+    aggregator.applyNodeReport("a", { {}, { { writers, 3 } } }, start);
+    aggregator.applyNodeReport("b", { {}, { { writers, 2 }, { writersNew, 5 } } }, start);
+    aggregator.applyZoneTotal("howrah", { {}, { { writersNew, 7 } } }, start);
+    EXPECT_EQ(aggregator.zoneTotal(start).unmetDemand, (UnmetDemand { { writers, 5 }, { writersNew, 5 } }));
+    EXPECT_EQ(aggregator.totalExcept("a", start).unmetDemand, (UnmetDemand { { writers, 2 }, { writersNew, 12 } }));
+}
+
 } // namespace Kumquatpick
--- a/tests/fleet/servicesworld.h
+++ b/tests/fleet/servicesworld.h
@@ -210,7 +210,7 @@
         std::string id = m_balancer.choose({ service, model, {}, 0, {}, {} }, now, m_random);
         if (id.empty() || m_crashed.contains(id)) {
             ++requests.unserved;
-            m_unmetDemand[model] += unmetDemandDecay * slotsPerRefusal;
+            m_unmetDemand[{ service, model }] += unmetDemandDecay * slotsPerRefusal;
             return;
         }
         ++requests.served;
--- a/tests/gateway/nodecodec_test.cpp
+++ b/tests/gateway/nodecodec_test.cpp
@@ -37,7 +37,7 @@
         message.controllerTerm = 31;
         message.anyCallSeen = true;
         message.inFlight = { { "host-a", 3 } };
-        message.unmetDemand = { { "large", 1.5 } };
+        message.unmetDemand = { { { "writers", "large" }, 1.5 }, { { "writers-new", "large" }, 0.5 } };
         message.progressAges = { { "host-a", Milliseconds(70) } };
         message.limits = { { "host-a", 1.5, Milliseconds(40) }, { "host-b", std::nullopt, Milliseconds(50) } };
         message.evacuations = EvacuationReport { 12, { { "zone-a", Milliseconds(700) } } };
@@ -89,6 +89,7 @@
     EXPECT_EQ(encode(*read), encode(message));
     EXPECT_EQ(read->sender, message.sender);
     EXPECT_EQ(read->nodes, message.nodes);
+    EXPECT_EQ(read->unmetDemand, message.unmetDemand);
     EXPECT_EQ(read->facts.at(0).content, message.facts[0].content);
     EXPECT_EQ(read->limits.at(1).perSecond, std::nullopt);
     EXPECT_EQ(read->received, message.received);
@@ -106,6 +107,18 @@
     EXPECT_EQ(shared.detectionDelay, Milliseconds(40));
 }
 
+// During a rolling replacement, nodes of an earlier version name models without their services.
+TEST(NodeCodec, IgnoresDemandWithoutItsService)
+{
+    json document = documentOf(fullMessage());
+    document.erase("unmet_by_service");
+    document["unmet"] = { { "large", 1.5 } };
+    auto read = decoded(document);
+    ASSERT_TRUE(read);
+    EXPECT_TRUE(read->unmetDemand.empty());
+    EXPECT_EQ(read->inFlight, fullMessage().inFlight);
+}
+
 // During a rolling replacement, nodes of an earlier version send and acknowledge no counts of server deaths.
 TEST(NodeCodec, ReadsNodesThatKnowNoSuspicions)
 {
