Keep to the weight store's limits over all services together

What callers could see: loads that take several times as long while hosts of several services load at once.

Cause: the weight store is one, but each service's planner kept to its rate and to its number of loads in progress by itself.

Evidence: FleetPlanner.DividesTheLoadsOfTheWeightStoreAmongServices failed before: 21 loads in progress where the store takes 7, with three services.

Change: LoadLimiter, shared by the planners of a term, holds both limits for all services and divides the loads equally among services that wait (one of three took 20 of 28 without that). The planners take turns in being first. With one service the limits are as they were.

--- a/src/fleet/controllerterm.h
+++ b/src/fleet/controllerterm.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/loadlimiter.h"
+
 #include <cstdint>
 
 namespace Kumquatpick {
@@ -15,9 +17,12 @@
     // An epoch that no other replica of the fleet has, of whatever service.
     uint64_t takeEpoch() { return m_nextEpoch++; }
 
+    LoadLimiter& loads() { return m_loads; }
+
 private:
     uint64_t m_firstEpoch;
     uint64_t m_nextEpoch;
+    LoadLimiter m_loads;
 };
 
 } // namespace Kumquatpick
--- a/src/fleet/fleetplanner.cpp
+++ b/src/fleet/fleetplanner.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleetplanner.h"
 
+#include <algorithm>
+
 namespace Kumquatpick {
 
 FleetPlanner::FleetPlanner(uint64_t fencing)
@@ -14,6 +16,9 @@
         if (service.servesModels())
             services.push_back(&service);
     }
+    m_term.loads().retainServices(config);
+    if (!services.empty())
+        std::ranges::rotate(services, services.begin() + static_cast<std::ptrdiff_t>(m_rounds++ % services.size()));
     return services;
 }
 
--- a/src/fleet/fleetplanner.h
+++ b/src/fleet/fleetplanner.h
@@ -19,7 +19,8 @@
     FleetPlanner(const FleetPlanner&) = delete; // The planners refer to its term.
     FleetPlanner& operator=(const FleetPlanner&) = delete;
 
-    // The services that serve models, in the order in which to plan them.
+    // The services that serve models, in the order in which to plan them. Another one comes first in each round, so
+    // that none takes all loads that may begin.
     std::vector<const ServiceSpec*> beginRound(const FleetConfig&);
     // The planner of the service, made on first use.
     ReplicaPlanner& plannerOf(std::string_view service);
@@ -28,6 +29,7 @@
 
 private:
     ControllerTerm m_term;
+    uint64_t m_rounds = 0;
     std::map<std::string, ReplicaPlanner, std::less<>> m_planners; // By service.
 };
 
--- a/src/fleet/modelstaging.cpp
+++ b/src/fleet/modelstaging.cpp
@@ -12,8 +12,6 @@
     // A host that refuses is already loading for an earlier controller, which may last as long as a load. Orders sent
     // to it in every plan used up the load rate of other hosts.
     constexpr Milliseconds refusalRetryDelay { 3000 };
-    // Capacity of the token bucket that limits the rate of loads.
-    constexpr double loadBurst = 5;
     // Value of a load on an idle host that already holds a model, relative to a cold host: it may find a replica
     // without the load.
     constexpr double warmHostValueFactor = 0.5;
@@ -47,9 +45,11 @@
 
 }
 
-void ModelStaging::plan(const PlannerInput& input, const ModelNeeds& needs, std::vector<PlannedLoad> plannedLoads,
-    const HostsByDomain& freeHosts, ReplicasByDomain replicas, uint32_t formationLoads, std::vector<HostOrder>& orders)
+void ModelStaging::plan(const PlannerInput& input, LoadLimiter& limiter, const ModelNeeds& needs,
+    std::vector<PlannedLoad> plannedLoads, const HostsByDomain& freeHosts, ReplicasByDomain replicas,
+    uint32_t formationLoads, std::vector<HostOrder>& orders)
 {
+    m_limiter = &limiter;
     m_hostsToPoll.clear();
     m_replicas = std::move(replicas);
     m_formationLoads = formationLoads;
@@ -94,7 +94,7 @@
             ++m_pendingLoads;
             continue;
         }
-        if (!tryAcquireLoad(input, input.service.timing.concurrentLoads))
+        if (!tryAcquireLoad(input, m_limiter->maxRunning()))
             return;
         stage(input, *load.host, load.model->name, orders);
         m_hostsToPoll.insert(load.host->id);
@@ -160,7 +160,7 @@
                     considerIdleHost(input, *host, hosts, needs, best);
             }
         }
-        uint32_t maxLoads = input.service.timing.concurrentLoads;
+        uint32_t maxLoads = m_limiter->maxRunning();
         if (!best || !tryAcquireLoad(input, maxLoads - std::min(maxLoads, m_pendingLoads)))
             return;
         stage(input, *best->host, best->model, orders);
@@ -204,7 +204,7 @@
         std::string_view model = secondModel(input.service, host, needs);
         if (model.empty())
             continue;
-        if (!tryAcquireLoad(input, maxSecondModelLoads))
+        if (!tryAcquireLoad(input, maxSecondModelLoads, true))
             return;
         stage(input, host, model, orders);
     }
@@ -216,19 +216,12 @@
     return staging != m_stagings.end() && staging->second.model == model;
 }
 
-bool ModelStaging::tryAcquireLoad(const PlannerInput& input, uint32_t maxConcurrentLoads)
+bool ModelStaging::tryAcquireLoad(const PlannerInput& input, uint32_t maxConcurrentLoads, bool mayWait)
 {
     if (input.isBeforeTraffic)
         return true;
-    if (loads() + m_formationLoads >= maxConcurrentLoads)
-        return false;
-    double elapsed = m_loadTokensAt ? toSeconds(input.now - *m_loadTokensAt) : loadBurst;
-    m_loadTokensAt = input.now;
-    m_loadTokens = std::min(loadBurst, m_loadTokens + elapsed * input.service.timing.loadsPerSecond);
-    if (m_loadTokens < 1)
-        return false;
-    m_loadTokens -= 1;
-    return true;
+    return m_limiter->tryBegin(
+        { input.service.name, loads() + m_formationLoads, maxConcurrentLoads, mayWait }, input.now);
 }
 
 void ModelStaging::stage(
--- a/src/fleet/modelstaging.h
+++ b/src/fleet/modelstaging.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/hostorder.h"
+#include "fleet/loadlimiter.h"
 #include "fleet/plannerinput.h"
 
 #include <cstdint>
@@ -35,8 +36,8 @@
     void observeIdleHosts(const HostsByDomain& freeHosts, MonotonicTime now);
     // Planned loads begin before all others, the most valuable first. Appends to orders. freeHosts: hosts that belong
     // to no replica; formationLoads: loads in progress for forming replicas.
-    void plan(const PlannerInput&, const ModelNeeds&, std::vector<PlannedLoad>, const HostsByDomain& freeHosts,
-        ReplicasByDomain, uint32_t formationLoads, std::vector<HostOrder>& orders);
+    void plan(const PlannerInput&, LoadLimiter&, const ModelNeeds&, std::vector<PlannedLoad>,
+        const HostsByDomain& freeHosts, ReplicasByDomain, uint32_t formationLoads, std::vector<HostOrder>& orders);
     void orderEnded(const HostOrder&, OrderResult, MonotonicTime now);
 
     // Whether the host was ordered to stage the model and has not finished.
@@ -70,7 +71,7 @@
         std::optional<IdleLoad>& best) const;
     void stageSecondModels(const PlannerInput&, const ModelNeeds&, std::vector<HostOrder>&);
     bool mayReload(const PlannerInput&, const Host&) const;
-    bool tryAcquireLoad(const PlannerInput&, uint32_t maxConcurrentLoads);
+    bool tryAcquireLoad(const PlannerInput&, uint32_t maxConcurrentLoads, bool mayWait = false);
     void stage(const PlannerInput&, const Host&, std::string_view model, std::vector<HostOrder>&);
 
     std::map<std::string, Staging, std::less<>> m_stagings; // By host.
@@ -80,8 +81,7 @@
     ReplicasByDomain m_replicas;
     uint32_t m_formationLoads = 0;
     uint32_t m_pendingLoads = 0; // Planned loads of hosts that may begin them within seconds.
-    double m_loadTokens = 0;
-    std::optional<MonotonicTime> m_loadTokensAt;
+    LoadLimiter* m_limiter = nullptr; // Not nullptr during plan().
 };
 
 } // namespace Kumquatpick
--- a/src/fleet/replicaforming.cpp
+++ b/src/fleet/replicaforming.cpp
@@ -265,8 +265,8 @@
     HostsByDomain unplanned;
     for (const auto& [domain, hosts] : planState.freeHosts)
         unplanned[domain] = unplannedHosts(domain, hosts);
-    m_staging.plan(input, computeNeeds(input, planState), plannedLoads(), unplanned, replicasByDomain(input, planState),
-        loadsOfFormations(input), orders);
+    m_staging.plan(input, m_term->loads(), computeNeeds(input, planState), plannedLoads(), unplanned,
+        replicasByDomain(input, planState), loadsOfFormations(input), orders);
     for (const auto& [domain, grouping] : m_groupings) {
         for (const PlannedReplica& replica : grouping) {
             for (const Host* host : replica.members)
@@ -280,8 +280,8 @@
     const PlannerInput& input, const PlanState& planState, const WantedReplicas& wanted)
 {
     m_groupings.clear();
-    uint32_t loads = m_staging.loads() + loadsOfFormations(input);
-    uint32_t maxLoads = input.service.timing.concurrentLoads;
+    uint32_t loads = m_staging.loads() + loadsOfFormations(input) + m_term->loads().runningOfOthers(input.service.name);
+    uint32_t maxLoads = m_term->loads().maxRunning();
     DomainPlanInput planInput { input.service, wanted, planState.replicaCounts,
         [&](const Host& host, const ModelSpec& model) { return m_staging.remainingLoad(host, model, input.now); },
         [&](const Host& host, const ModelSpec& model) { return m_staging.mayLoad(input, host, model); },
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -82,7 +82,9 @@
     planState.freeHosts = freeHostsByDomain(input);
     planState.serving = servingByDomain(input, planState.replicas);
     planState.replicaCounts = replicasByModel(input, planState.replicas);
+    m_term->loads().setLimits(input.service.name, input.service.timing);
     formReplicas(input, planState, orders);
+    m_term->loads().setRunning(input.service.name, m_staging.loads() + loadsOfFormations(input));
     for (const HostOrder& order : orders)
         m_orderCounts.beginOrder(order, input.hosts);
     return orders;
--- a/tests/fleet/fleetplanner_test.cpp
+++ b/tests/fleet/fleetplanner_test.cpp
@@ -134,4 +134,34 @@
     }
 }
 
+// Guards against loads beyond the limits of the weight store, which all services share, and against a service whose
+// hosts wait while those of another one take all loads.
+TEST(FleetPlanner, DividesTheLoadsOfTheWeightStoreAmongServices)
+{
+    constexpr int services = 3;
+    constexpr std::chrono::seconds window { 5 };
+    constexpr double overrun = 1.1; // Loads in a window may exceed the rate by this factor and by maxExtraLoads.
+    constexpr double maxExtraLoads = 3;
+    ServicesWorld world(services, largeAndSmall(), 12, 2);
+    startTraffic(world);
+    world.loadsBegun.clear();
+    world.mostLoadsRunning = 0;
+    world.addEmptyHosts(30, 2);
+    world.run(Milliseconds(60'000));
+    const EngineTiming& timing = world.config.services[0].timing;
+    EXPECT_LE(world.mostLoadsRunning, timing.concurrentLoads);
+    std::map<std::string, uint32_t> loads;
+    auto first = world.loadsBegun.begin();
+    for (auto load = first; load != world.loadsBegun.end(); ++load) {
+        ++loads[load->second];
+        while (load->first - first->first > window)
+            ++first;
+        EXPECT_LE(
+            static_cast<double>(load - first + 1), timing.loadsPerSecond * toSeconds(window) * overrun + maxExtraLoads);
+    }
+    for (const ServiceSpec& service : world.config.services)
+        EXPECT_GE(loads[service.name] * services * 2, world.loadsBegun.size())
+            << service.name << " gets " << loads[service.name] << " loads";
+}
+
 } // namespace Kumquatpick
