--- a/src/fleet/fleetplanner.cpp
+++ b/src/fleet/fleetplanner.cpp
@@ -17,8 +17,10 @@
             services.push_back(&service);
     }
     m_term.loads().retainServices(config);
-    if (!services.empty())
-        std::ranges::rotate(services, services.begin() + static_cast<std::ptrdiff_t>(m_rounds++ % services.size()));
+    if (services.empty())
+        return services;
+    auto first = services.begin() + static_cast<std::ptrdiff_t>(m_rounds++ % services.size());
+    std::rotate(services.begin(), first, services.end());
     return services;
 }
 
--- a/src/fleet/servicemodel.h
+++ b/src/fleet/servicemodel.h
@@ -12,7 +12,7 @@
     std::string service;
     std::string model;
 
-    auto operator<=>(const ServiceModel&) const = default;
+    auto operator<=>(const ServiceModel&) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 // Slots that refused calls would have occupied.
--- a/tests/fleet/fleetplanner_test.cpp
+++ b/tests/fleet/fleetplanner_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet/servicesworld.h"
 
 #include <gtest/gtest.h>
+#include <random>
 
 namespace Kumquatpick {
 
--- a/tests/fleet/servicesworld.h
+++ b/tests/fleet/servicesworld.h
@@ -6,13 +6,13 @@
 #include "fleet/hostworld.h"
 #include "fleet/servingtargets.h"
 
-#include <deque>
+#include <algorithm>
 #include <fmt/format.h>
+#include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,13 +41,13 @@
         uint32_t atOtherService = 0; // Ran on hosts of another service.
     };
 
-    ServicesWorld(int services, std::vector<ModelSpec> models, int hostsPerService, int domains)
+    ServicesWorld(int services, std::span<const ModelSpec> models, int hostsPerService, int domains)
     {
         closingDuration = requestDuration;
         for (int i = 0; i < services; ++i) {
             ServiceSpec spec;
             spec.name = fmt::format("service-{}", i);
-            spec.models = models;
+            spec.models.assign(models.begin(), models.end());
             spec.capacity = 14;
             spec.timing.loadsPerSecond = 5;
             spec.timing.concurrentLoads = 7;
