--- a/src/fleet/loadlimiter.cpp
+++ b/src/fleet/loadlimiter.cpp
@@ -17,7 +17,10 @@
 
 void LoadLimiter::retainServices(const FleetConfig& config)
 {
-    std::erase_if(m_services, [&](const auto& entry) { return !config.service(entry.first); });
+    std::erase_if(m_services, [&](const auto& entry) {
+        const ServiceSpec* service = config.service(entry.first);
+        return !service || !service->servesModels();
+    });
 }
 
 void LoadLimiter::setLimits(std::string_view service, const EngineTiming& timing)
--- a/src/fleet/loadlimiter.h
+++ b/src/fleet/loadlimiter.h
@@ -26,7 +26,7 @@
         bool mayWait = false; // No replica waits for it.
     };
 
-    // Forgets the services that are no longer configured.
+    // Forgets services that no longer serve models.
     void retainServices(const FleetConfig&);
     // What the service names as the store's limits.
     void setLimits(std::string_view service, const EngineTiming&);
