Make the planner of a first term whatever its fencing number is

The controller made planners lazily until FleetPlanner held them; a first term with fencing number 0 would have had none. Found by reading. It can't come from today's lease, whose fencing number is the offset of the claim plus one.

--- a/src/gateway/controllerloop.cpp
+++ b/src/gateway/controllerloop.cpp
@@ -64,7 +64,7 @@
 
 void ControllerLoop::tick(uint64_t fencing)
 {
-    if (fencing != m_fencing) {
+    if (!m_planner || fencing != m_fencing) {
         m_planner = std::make_unique<FleetPlanner>(fencing);
         m_contacts.clear();
         m_fencing = fencing;
